--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -18,6 +18,16 @@
 	// binds 2.5 s after the platform acknowledged it.
 	watchWait = 1200 * time.Millisecond
 
+	// coverTime is the time for which the word of another host stands in for an own watch: a watch of that host and the time
+	// to notice that it gets no answer. A drain binds 2.5 s after its acknowledgement.
+	coverTime = watchWait + 600*time.Millisecond
+
+	// gatherTime is the pause after a watch that brought changes, so that changes in quick succession cost one call together.
+	gatherTime = 250 * time.Millisecond
+
+	// substituteTime is the time after an own failed call for which the word of any host stands in for own calls.
+	substituteTime = 2 * time.Second
+
 	// retryFirst and retryMost bound the pause after a failed call: short, because a drain binds within 2.5 s, and bounded
 	// because every call is priced.
 	retryFirst = 100 * time.Millisecond
@@ -27,20 +37,28 @@
 // Config configures a Follower.
 type Config struct {
 	Catalog steer.Catalog
-	Regions map[string]string // Region by data centre.
-	Logger  log.Logger        // Nil means no logging.
+	Regions map[string]string   // Region by data centre.
+	Relay   func(steer.Changes) // Takes each result of an own watch. Nil means none.
+	Logger  log.Logger          // Nil means no logging.
 }
 
 // Follower keeps the View up to date.
 type Follower struct {
 	catalog steer.Catalog
+	relay   func(steer.Changes)
 	logger  log.Logger
-	mu      sync.Mutex
-	table   *table // Guarded by mu.
 	view    atomic.Pointer[View]
 	changed atomic.Pointer[chan struct{}]
+	wake    chan struct{} // Ends a pause during which another host stands in.
 	cancel  context.CancelFunc
 	done    chan struct{}
+
+	mu         sync.Mutex
+	table      *table
+	revision   uint64    // From which the next watch continues.
+	covered    time.Time // Until when a host that watches for this one stands in.
+	substitute time.Time // Until when any host does; of use after an own failed call.
+	failed     time.Time // When an own call last failed.
 }
 
 // New starts a follower.
@@ -48,11 +66,16 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
+	if c.Relay == nil {
+		c.Relay = func(steer.Changes) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		catalog: c.Catalog,
+		relay:   c.Relay,
 		logger:  log.With(c.Logger, "part", "belief"),
 		table:   newTable(c.Regions),
+		wake:    make(chan struct{}, 1),
 		cancel:  cancel,
 		done:    make(chan struct{}),
 	}
@@ -95,27 +118,80 @@
 	close(*f.changed.Swap(&next))
 }
 
+// Cover takes changes that another host of the data centre watched. A host that watches for this one makes own watches
+// needless for some time; the word of any other does so after an own call failed. Changes that do not continue from what is
+// known are left to an own watch.
+func (f *Follower) Cover(now time.Time, watchesForThis bool, c steer.Changes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.table.listed {
+		return
+	}
+	if c.From > f.revision {
+		f.covered, f.substitute = time.Time{}, time.Time{}
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+		return
+	}
+	if watchesForThis {
+		f.covered = now.Add(coverTime)
+	}
+	f.substitute = now.Add(coverTime)
+	f.take(now, c.Facts, c.To)
+}
+
+// uncovered returns the time until which another host stands in for own watches, zero for none.
+func (f *Follower) uncovered(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until := f.covered
+	if again := f.failed.Add(substituteTime); again.After(now) && f.substitute.After(until) {
+		until = f.substitute
+		if again.Before(until) {
+			until = again
+		}
+	}
+	if !until.After(now) {
+		return time.Time{}
+	}
+	if next := f.table.expire(now); !next.IsZero() && next.Before(until) {
+		until = next.Add(time.Millisecond)
+		f.publish()
+	}
+	return until
+}
+
 func (f *Follower) run(ctx context.Context) {
-	var revision uint64
 	listed := false
 	pause := retryFirst
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
-			revision, err = f.list(ctx)
+		changed := 0
+		now := time.Now()
+		until := f.uncovered(now)
+		switch {
+		case !listed:
+			err = f.list(ctx)
 			listed = err == nil
-		} else {
-			revision, err = f.follow(ctx, revision)
+		case !until.IsZero():
+			f.stand(ctx, until.Sub(now))
+		default:
+			changed, err = f.follow(ctx)
 		}
 		if err == nil {
 			pause = retryFirst
+			if changed > 0 {
+				f.sleep(ctx, gatherTime)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, steer.ErrCompacted) {
-			_ = level.Info(f.logger).Log("msg", "History is gone, listing again.", "after", revision)
+			_ = level.Info(f.logger).Log("msg", "History is gone, listing again.")
 			listed = false
 			continue
 		}
@@ -125,49 +201,62 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context) (uint64, error) {
+func (f *Follower) list(ctx context.Context) error {
 	facts, revision, err := f.catalog.List(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.reach(now)
 	f.report(f.table.list(now, facts, revision))
+	f.revision = max(f.revision, revision)
 	f.publish()
 	_ = level.Info(f.logger).Log("msg", "Entries listed.", "entries", len(facts), "revision", revision,
 		"version", f.version())
-	return revision, nil
+	return nil
 }
 
-func (f *Follower) follow(ctx context.Context, after uint64) (uint64, error) {
+// follow makes one watch and returns the number of changes that it brought.
+func (f *Follower) follow(ctx context.Context) (int, error) {
 	wait := watchWait
 	now := time.Now()
 	f.mu.Lock()
 	if next := f.table.expire(now); !next.IsZero() {
 		wait = min(wait, next.Sub(now)+time.Millisecond)
 	}
+	after := f.revision
 	f.mu.Unlock()
 	facts, revision, err := f.catalog.Changes(ctx, after, wait)
 	if err != nil {
-		return after, err
+		return 0, err
 	}
+	f.relay(steer.Changes{
+		From:  after,
+		To:    revision,
+		Facts: facts,
+	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now = time.Now()
+	f.take(time.Now(), facts, revision)
+	return len(facts), nil
+}
+
+// take applies changes. The caller holds mu.
+func (f *Follower) take(now time.Time, facts []steer.Fact, revision uint64) {
 	f.reach(now)
 	before := f.version()
 	for _, fact := range facts {
 		f.report(f.table.apply(now, fact))
 		f.log(fact)
 	}
+	f.revision = max(f.revision, revision)
 	f.table.expire(now)
 	f.publish()
 	if v := f.version(); v != before {
 		_ = level.Info(f.logger).Log("msg", "Plan in force.", "version", v, "before", before, "revision", revision)
 	}
-	return revision, nil
 }
 
 func (f *Follower) reach(now time.Time) {
@@ -180,7 +269,13 @@
 func (f *Follower) fail(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table.lost(time.Now()) {
+	now := time.Now()
+	f.failed = now
+	if f.substitute.After(now) {
+		_ = level.Info(f.logger).Log("msg", "Platform does not answer, another host stands in.", "err", err)
+		return
+	}
+	if f.table.lost(now) {
 		_ = level.Warn(f.logger).Log("msg", "Platform lost.", "err", err)
 	}
 	f.publish()
@@ -216,6 +311,17 @@
 	return f.table.index.Plan.Version
 }
 
+// stand waits while another host stands in.
+func (f *Follower) stand(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+	case <-timer.C:
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -146,11 +146,6 @@
 func (n *Node) start(c Config, p ports) {
 	s := &n.settings
 	incarnation := uint64(time.Now().UnixNano())
-	n.follower = belief.New(belief.Config{
-		Catalog: c.Catalog,
-		Regions: s.Regions,
-		Logger:  c.Logger,
-	})
 	n.placer = place.New(place.Config{
 		DataCentre: s.DataCentre,
 		Region:     s.Region,
@@ -166,11 +161,20 @@
 		Metrics: c.Metrics,
 	})
 	n.teller = gossip.New(gossip.Config{
-		Host:   s.HostID,
-		Demand: n.quotas.Publish,
-		Hint:   n.hint,
-		Heard:  n.heard,
-		Logger: c.Logger,
+		Host:       s.HostID,
+		DataCentre: s.DataCentre,
+		Use:        n.quotas.Publish,
+		Sum:        n.quotas.Sum,
+		Hint:       n.hint,
+		Heard:      n.heard,
+		Changes:    n.changes,
+		Logger:     c.Logger,
+	})
+	n.follower = belief.New(belief.Config{
+		Catalog: c.Catalog,
+		Regions: s.Regions,
+		Relay:   func(changes steer.Changes) { n.teller.Relay(changes) },
+		Logger:  c.Logger,
 	})
 	n.member = join.New(join.Config{
 		Catalog: c.Catalog,
@@ -236,7 +240,11 @@
 
 // heard takes what another host tells.
 func (n *Node) heard(now time.Time, news gossip.News) {
-	n.quotas.Heard(now, news.Host, news.Demand, news.Leaving)
+	if news.Leaving {
+		n.quotas.Left(now, news.Peer)
+		return
+	}
+	n.quotas.Heard(now, news.Made, news.Peer, news.Use)
 	if !news.Reaches {
 		return
 	}
@@ -250,6 +258,36 @@
 	n.follower.Hear(now, hint)
 }
 
+// changes takes what another host of the data centre watched. The first one by id watches for the others.
+func (n *Node) changes(now time.Time, from string, c steer.Changes) {
+	n.follower.Cover(now, from < n.settings.HostID, c)
+}
+
+// peersOf returns the hosts of the own data centre one by one, and each other data centre as a whole.
+func (n *Node) peersOf(hosts []steer.HostEntry) []share.Peer {
+	var peers []share.Peer
+	centres := map[string]int{}
+	for _, host := range hosts {
+		switch {
+		case host.ID == n.settings.HostID:
+		case host.DataCentre == n.settings.DataCentre:
+			peers = append(peers, share.Peer{
+				ID:    host.ID,
+				Hosts: 1,
+			})
+		default:
+			centres[host.DataCentre]++
+		}
+	}
+	for name, count := range centres {
+		peers = append(peers, share.Peer{
+			ID:    gossip.CentrePeer(name),
+			Hosts: count,
+		})
+	}
+	return peers
+}
+
 // hint returns what this host can tell those that do not reach the platform.
 func (n *Node) hint(now time.Time) (gossip.Hint, bool) {
 	view := n.follower.View()
@@ -274,13 +312,7 @@
 		changed := n.follower.Changed()
 		view := n.follower.View()
 		now := time.Now()
-		others := make([]string, 0, len(view.Hosts))
-		for _, host := range view.Hosts {
-			if host.ID != n.settings.HostID {
-				others = append(others, host.ID)
-			}
-		}
-		n.quotas.SetHosts(now, others, view.Contact)
+		n.quotas.SetPeers(now, n.peersOf(view.Hosts), view.Contact)
 		if view.Index != nil {
 			n.quotas.SetQuotas(now, view.Index.Plan.Customers)
 		}
--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"monsoonhub.example/steer/internal/edge/belief"
@@ -46,8 +47,8 @@
 	gentle   time.Time // Treated as cold until then.
 	seed     uint64    // Hash of its id.
 	gone     bool      // Another target has its address.
-	tokens   float64
-	filled   time.Time // When tokens was reckoned.
+	tokens   float64   // Of a cold target.
+	filled   time.Time // When tokens was reckoned; zero while the target is warm.
 }
 
 func (n *node) age(now time.Time) time.Duration {
@@ -89,8 +90,12 @@
 // warm reports whether the target is warm, or cold with a token left at the given rate per second.
 func (n *node) warm(now time.Time, rate float64) bool {
 	if !n.cold(now) {
+		n.filled = time.Time{}
 		return true
 	}
+	if n.filled.IsZero() {
+		n.tokens, n.filled = rand.Float64(), now // Hosts send their first request at different times.
+	}
 	n.tokens = math.Min(coldBurst, n.tokens+rate*now.Sub(n.filled).Seconds())
 	n.filled = now
 	return n.tokens >= 1
--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -168,6 +168,29 @@
 	assert.Assert(t, total > 0)
 }
 
+// Guards against a target that turns cold and gets a saved request from each host of a large fleet at once.
+func TestTargetThatTurnsColdGetsFewRequests(t *testing.T) {
+	const hosts = 72
+	warm, cold := target(1, "golfo-a"), target(1, "golfo-a")
+	cold.ColdTill = start.Add(time.Hour)
+	now := start.Add(time.Minute)
+	total := 0
+	for range hosts {
+		p := placer(t, hosts, warm)
+		c, refusal := p.Pick(start, ask("1"))
+		assert.Assert(t, refusal == nil)
+		p.Done(start, c, place.Outcome{Latency: time.Millisecond})
+		p.Update(now, viewOf(t, cold), hosts)
+		for ms := range 1000 {
+			if c, refusal := p.Pick(now.Add(time.Duration(ms)*time.Millisecond), ask("1")); refusal == nil {
+				total++
+				p.Done(now, c, place.Outcome{Latency: time.Millisecond})
+			}
+		}
+	}
+	assert.Assert(t, total > 0 && float64(total) <= 1.5*warmupRate+5, "%d requests in one second", total)
+}
+
 // Guards against requests that reach a data centre that is emptied, or a region in which they may not run.
 func TestStaysInAllowedPlaces(t *testing.T) {
 	p := place.New(place.Config{
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -1,7 +1,7 @@
 package place
 
 import (
-	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -68,17 +68,17 @@
 
 // service is what this host knows of the targets of one service.
 type service struct {
-	nodes   map[string]*node   // By target id.
-	centres map[string][]*node // By data centre.
-	goal    []share            // Of regions.
-	regions []share            // In force; moves towards the goal.
-	caps    map[string]float64 // Capacity of regions, in slots.
-	moved   time.Time
-	typical average // Seconds of an answer.
-	work    average // Seconds of an answer without the wait in the target's queue.
-	classes map[string]*average
-	warmup  time.Duration // Time for which a started target is cold.
-	rate    float64       // Requests per second that a cold target may get from this host.
+	nodes    map[string]*node   // By target id.
+	regional map[string][]*node // By region.
+	goal     []share            // Of regions.
+	regions  []share            // In force; moves towards the goal.
+	caps     map[string]float64 // Capacity of regions, in slots.
+	moved    time.Time
+	typical  average // Seconds of an answer.
+	work     average // Seconds of an answer without the wait in the target's queue.
+	classes  map[string]*average
+	warmup   time.Duration // Time for which a started target is cold.
+	rate     float64       // Requests per second that a cold target may get from this host.
 
 	connections int // Requests in progress that a target may have from this host; each takes a connection.
 
@@ -99,21 +99,20 @@
 // adopt takes the targets that are registered. What is known of those that stay is kept.
 func (s *service) adopt(now time.Time, list []*belief.Registered, view *belief.View, c Config, hosts int) {
 	nodes := make(map[string]*node, len(list))
-	s.centres = map[string][]*node{}
+	s.regional = map[string][]*node{}
 	for _, target := range list {
-		if view.Emptied[target.DataCentre] {
+		if view.Emptied[target.DataCentre] || target.Regional == "" {
 			continue
 		}
 		n := s.nodes[target.ID]
 		if n == nil || !n.target.Same(target) {
 			n = &node{
-				seed:   xxhash.Sum64String(target.ID),
-				filled: now,
+				seed: xxhash.Sum64String(target.ID),
 			}
 		}
 		n.target = target
 		nodes[target.ID] = n
-		s.centres[target.DataCentre] = append(s.centres[target.DataCentre], n)
+		s.regional[target.Regional] = append(s.regional[target.Regional], n)
 	}
 	s.nodes = nodes
 	s.rate = 0
@@ -129,9 +128,11 @@
 // divide reckons the shares of regions from their capacity.
 func (s *service) divide(now time.Time, c Config) {
 	s.caps = map[string]float64{}
-	for centre, region := range c.Regions {
-		s.caps[region] += 0
-		for _, n := range s.centres[centre] {
+	for _, region := range c.Regions {
+		s.caps[region] = 0
+	}
+	for region, nodes := range s.regional {
+		for _, n := range nodes {
 			s.caps[region] += n.slots()
 		}
 	}
@@ -180,17 +181,16 @@
 	if region == "" {
 		return nil, false, steer.ReasonNoTarget
 	}
-	near := s.order(now, ask, hash, region, c)
-	if len(near) == 0 {
-		near = s.away(now, ask, hash, region, c)
+	home := s.home(now, ask, hash, func(other string) bool { return other == region })
+	if home == nil {
+		home = s.home(now, ask, hash, func(other string) bool { return other != region && ask.allowed(other) })
 	}
-	if len(near) == 0 {
+	if home == nil {
 		return nil, false, steer.ReasonNoTarget
 	}
-	home := near[0]
 	n := home
 	if home.use(now) >= s.limit(&ask) || s.connected(home) {
-		if n = s.overflow(now, ask, hash, region, c); n == nil {
+		if n = s.overflow(now, ask, region); n == nil {
 			return nil, false, steer.ReasonCapacity
 		}
 	}
@@ -204,13 +204,13 @@
 // overflow returns the least busy target of other regions, if one more request may leave its region. Other targets of the
 // region are not tried: they do not know the object, work three times as long on it, and forget another one for it, which
 // makes everything slower when all are busy.
-func (s *service) overflow(now time.Time, ask Ask, hash uint64, region string, c Config) *node {
+func (s *service) overflow(now time.Time, ask Ask, region string) *node {
 	if !s.mayLeave() {
 		return nil
 	}
 	var best *node
 	least := overflowUse
-	for _, n := range s.away(now, ask, hash, region, c) {
+	for n := range s.usable(now, ask, func(other string) bool { return other != region && ask.allowed(other) }) {
 		if use := n.use(now); use < least && !s.connected(n) {
 			best, least = n, use
 		}
@@ -239,32 +239,32 @@
 	return best
 }
 
-// away returns the usable targets of other regions.
-func (s *service) away(now time.Time, ask Ask, hash uint64, region string, c Config) []*node {
-	var list []*node
-	for other := range s.caps {
-		if other != region && ask.allowed(other) {
-			list = append(list, s.order(now, ask, hash, other, c)...)
+// home returns the target that a key prefers among the usable ones of some regions, by highest random weight.
+func (s *service) home(now time.Time, ask Ask, hash uint64, in func(region string) bool) *node {
+	var best *node
+	most := uint64(0)
+	for n := range s.usable(now, ask, in) {
+		if weight := mix(hash ^ n.seed); best == nil || weight > most {
+			best, most = n, weight
 		}
 	}
-	return list
+	return best
 }
 
-// order returns the usable targets of a region in the order of a key, by highest random weight.
-func (s *service) order(now time.Time, ask Ask, hash uint64, region string, c Config) []*node {
-	var nodes []*node
-	for centre, r := range c.Regions {
-		if r != region {
-			continue
-		}
-		for _, n := range s.centres[centre] {
-			if n.usable(now) && !slices.Contains(ask.Tried, n.target.ID) && n.warm(now, s.rate) {
-				nodes = append(nodes, n)
+// usable yields the targets of some regions that the request may be sent to.
+func (s *service) usable(now time.Time, ask Ask, in func(region string) bool) iter.Seq[*node] {
+	return func(yield func(*node) bool) {
+		for region, nodes := range s.regional {
+			if !in(region) {
+				continue
+			}
+			for _, n := range nodes {
+				if n.usable(now) && !slices.Contains(ask.Tried, n.target.ID) && n.warm(now, s.rate) && !yield(n) {
+					return
+				}
 			}
 		}
 	}
-	slices.SortFunc(nodes, func(a, b *node) int { return cmp.Compare(mix(hash^b.seed), mix(hash^a.seed)) })
-	return nodes
 }
 
 // learn takes the time of an answer, and the use of the target when the request was sent.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -2,72 +2,58 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/quota/share"
 )
 
 // Path is the path of the peer listener at which Handler is mounted.
 const Path = "/v1/demand"
 
 const (
-	// tellEvery is the time between two messages to a host. Quotas must hold over windows of seconds.
+	// tellEvery is the time between two rounds of messages. Quotas must hold over windows of seconds.
 	tellEvery = 250 * time.Millisecond
 
-	// writeLimit bounds the writing of one message, after which the link is opened anew.
-	writeLimit = 600 * time.Millisecond
+	// aliveTime is the time without a message after which a host does not count for the choice of the speaker: some rounds.
+	aliveTime = 800 * time.Millisecond
 
-	// dialLimit bounds the opening of a link.
-	dialLimit = 600 * time.Millisecond
-
-	// dialPause is the pause after a link failed.
-	dialPause = 500 * time.Millisecond
-
-	// heardLimit ends a link on which nothing comes: several messages.
-	heardLimit = 3 * time.Second
+	// listeners is the number of hosts of another data centre that are told in turn, so that the loss of one is bridged.
+	listeners = 2
 
 	// lapseTime is the time for which a host is told after its registration ended: as long as its part of quotas is kept.
 	lapseTime = 20 * time.Second
 
-	// maxMessage bounds a message in bytes: a thousand customers.
-	maxMessage = 64 << 10
+	// hintTime is the age up to which the hint of another data centre is passed on.
+	hintTime = time.Second
 )
 
-// message is what a host tells.
-type message struct {
-	Host    string             `cbor:"host"`
-	Demand  map[string]float64 `cbor:"demand"` // Requests per second by customer.
-	Leaving bool               `cbor:"leaving"`
-	Reaches bool               `cbor:"reaches"` // Whether it reaches the platform.
-	Emptied []string           `cbor:"emptied,omitempty"`
-	Cold    map[string]int64   `cbor:"cold,omitempty"` // Milliseconds left by target.
-}
-
 // Config configures a Teller.
 type Config struct {
-	Host   string
-	Demand func(now time.Time) map[string]float64 // Called once for each round.
-	Hint   func(now time.Time) (Hint, bool)       // For hosts that do not reach the platform; false without one.
-	Heard  func(now time.Time, news News)         // Called for each message.
-	Logger log.Logger                             // Nil means no logging.
+	Host       string
+	DataCentre string
+	Use        func(now time.Time) share.Report                  // Of this host. Called once for each round.
+	Sum        func(peers []string) (share.Report, int)          // Of this host and others together, with their number.
+	Hint       func(now time.Time) (Hint, bool)                  // For hosts that do not reach the platform; false without one.
+	Heard      func(now time.Time, news News)                    // Called for each message with news of quotas and hints.
+	Changes    func(now time.Time, from string, c steer.Changes) // Called for changes of entries.
+	Logger     log.Logger                                        // Nil means no logging.
 }
 
-// News is what another host tells.
+// News is what a host or data centre tells.
 type News struct {
-	Host    string
-	Demand  map[string]float64 // Requests per second by customer.
-	Leaving bool               // It takes no more requests.
-	Reaches bool               // It reaches the platform, and Hint is set.
+	Peer    string // ID of the host, or CentrePeer of the data centre.
+	Made    time.Time
+	Use     share.Report
+	Leaving bool // The host takes no more requests.
+	Reaches bool // It reaches the platform, and Hint is set.
 	Hint    Hint
 }
 
@@ -77,7 +63,10 @@
 	Cold    map[string]time.Duration // For how much longer targets are cold, by id.
 }
 
-// Teller keeps a link to each other host.
+// CentrePeer is the id of a data centre that reports as a whole.
+func CentrePeer(dataCentre string) string { return "data-centre/" + dataCentre }
+
+// Teller keeps the links of a host.
 type Teller struct {
 	config Config
 	logger log.Logger
@@ -85,18 +74,28 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
-	left   atomic.Bool // The last message was that this host leaves.
 
-	mu    sync.Mutex
-	links map[string]*link // By host id.
+	mu      sync.Mutex
+	left    bool // The last message was that this host leaves.
+	round   int
+	hosts   map[string]*host     // Others, by id.
+	centres map[string]*heardSum // What other data centres told this host since the last round.
+	foreign *message             // The last message of another data centre that reaches the platform.
+	came    time.Time            // When foreign came.
 }
 
-// link is the link to one host.
-type link struct {
-	host   steer.HostEntry
-	cancel context.CancelFunc
-	lapsed time.Time   // When its registration was missed; zero while it is registered.
-	news   chan []byte // Holds the newest message only.
+// host is what is known of another host.
+type host struct {
+	entry  steer.HostEntry
+	lapsed time.Time // When its registration was missed; zero while it is registered.
+	heard  time.Time
+	link   *link // Nil while none is wanted.
+}
+
+// heardSum is the sum that another data centre told.
+type heardSum struct {
+	message *message
+	came    time.Time
 }
 
 // New starts to tell.
@@ -107,14 +106,18 @@
 	if c.Hint == nil {
 		c.Hint = func(time.Time) (Hint, bool) { return Hint{}, false }
 	}
+	if c.Changes == nil {
+		c.Changes = func(time.Time, string, steer.Changes) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Teller{
-		config: c,
-		logger: log.With(c.Logger, "part", "gossip"),
-		client: &http.Client{},
-		ctx:    ctx,
-		cancel: cancel,
-		links:  map[string]*link{},
+		config:  c,
+		logger:  log.With(c.Logger, "part", "gossip"),
+		client:  &http.Client{},
+		ctx:     ctx,
+		cancel:  cancel,
+		hosts:   map[string]*host{},
+		centres: map[string]*heardSum{},
 	}
 	t.wait.Add(1)
 	go func() {
@@ -133,53 +136,117 @@
 
 // SetHosts takes the hosts that are registered. Others are told for some time more: a host that is cut off from the platform
 // loses its registration, and needs the word of others most.
-func (t *Teller) SetHosts(now time.Time, hosts []steer.HostEntry) {
+func (t *Teller) SetHosts(now time.Time, entries []steer.HostEntry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wanted := map[string]bool{}
-	for _, host := range hosts {
-		if host.ID == t.config.Host || !host.PeerAddress.IsValid() || t.ctx.Err() != nil {
+	registered := map[string]bool{}
+	for _, entry := range entries {
+		if entry.ID == t.config.Host || !entry.PeerAddress.IsValid() {
 			continue
 		}
-		wanted[host.ID] = true
-		old := t.links[host.ID]
-		if old != nil && old.host.PeerAddress == host.PeerAddress && old.host.Incarnation == host.Incarnation {
-			continue
+		registered[entry.ID] = true
+		h := t.hosts[entry.ID]
+		if h == nil {
+			h = &host{}
+			t.hosts[entry.ID] = h
 		}
-		if old != nil {
-			old.cancel()
+		if h.link != nil && (h.entry.PeerAddress != entry.PeerAddress || h.entry.Incarnation != entry.Incarnation) {
+			h.unlink()
 		}
-		t.open(host)
+		h.entry, h.lapsed = entry, time.Time{}
 	}
-	for id, l := range t.links {
+	for id, h := range t.hosts {
 		switch {
-		case wanted[id]:
-			l.lapsed = time.Time{}
-		case l.lapsed.IsZero():
-			l.lapsed = now
-		case now.Sub(l.lapsed) > lapseTime:
-			l.cancel()
-			delete(t.links, id)
+		case registered[id]:
+		case h.lapsed.IsZero():
+			h.lapsed = now
+		case now.Sub(h.lapsed) > lapseTime:
+			h.unlink()
+			delete(t.hosts, id)
 		}
 	}
+	t.connect(now)
 }
 
-func (t *Teller) open(host steer.HostEntry) {
-	ctx, cancel := context.WithCancel(t.ctx)
-	l := &link{
-		host:   host,
-		cancel: cancel,
-		news:   make(chan []byte, 1),
+// connect opens the links that are wanted and closes the others. The caller holds mu.
+func (t *Teller) connect(now time.Time) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	wanted := map[*host]bool{}
+	for _, h := range t.mates() {
+		wanted[h] = true
+	}
+	if t.speaks(now) {
+		for _, list := range t.others() {
+			for _, h := range list {
+				wanted[h] = true
+			}
+		}
+	}
+	for _, h := range t.hosts {
+		switch {
+		case !wanted[h]:
+			h.unlink()
+		case h.link == nil:
+			h.link = t.open(h.entry)
+		}
 	}
-	t.links[host.ID] = l
-	t.wait.Add(1)
-	go func() {
-		defer t.wait.Done()
-		t.keep(ctx, l)
-	}()
 }
 
-// rounds makes one message for all hosts at a time.
+func (h *host) unlink() {
+	if h.link != nil {
+		h.link.cancel()
+		h.link = nil
+	}
+}
+
+// mates returns the other hosts of the own data centre.
+func (t *Teller) mates() []*host {
+	var list []*host
+	for _, h := range t.hosts {
+		if h.entry.DataCentre == t.config.DataCentre {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// others returns the hosts of each other data centre that are told: the first ones by id, registered ones first.
+func (t *Teller) others() map[string][]*host {
+	centres := map[string][]*host{}
+	for _, id := range slices.Sorted(maps.Keys(t.hosts)) {
+		if h := t.hosts[id]; h.entry.DataCentre != t.config.DataCentre {
+			centres[h.entry.DataCentre] = append(centres[h.entry.DataCentre], h)
+		}
+	}
+	for name, list := range centres {
+		slices.SortStableFunc(list, func(a, b *host) int {
+			switch {
+			case a.lapsed.IsZero() == b.lapsed.IsZero():
+				return 0
+			case a.lapsed.IsZero():
+				return -1
+			default:
+				return 1
+			}
+		})
+		centres[name] = list[:min(len(list), listeners)]
+	}
+	return centres
+}
+
+// speaks reports whether this host speaks for its data centre.
+func (t *Teller) speaks(now time.Time) bool {
+	for _, h := range t.mates() {
+		if h.entry.ID < t.config.Host && now.Sub(h.heard) < aliveTime {
+			return false
+		}
+	}
+	return true
+}
+
+// rounds tells all links at a time.
 func (t *Teller) rounds() {
 	ticker := time.NewTicker(tellEvery)
 	defer ticker.Stop()
@@ -188,154 +255,150 @@
 		case <-t.ctx.Done():
 			return
 		case now := <-ticker.C:
-			if t.left.Load() {
-				return
-			}
-			t.offer(t.next(now))
+			t.tellAll(now)
 		}
 	}
 }
 
-// next returns the message of a round.
-func (t *Teller) next(now time.Time) message {
+func (t *Teller) tellAll(now time.Time) {
+	own := t.config.Use(now)
 	hint, reaches := t.config.Hint(now)
-	m := message{
-		Host:    t.config.Host,
-		Demand:  t.config.Demand(now),
-		Reaches: reaches,
-		Emptied: hint.Emptied,
-		Cold:    make(map[string]int64, len(hint.Cold)),
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left {
+		return
 	}
-	for id, left := range hint.Cold {
-		m.Cold[id] = left.Milliseconds()
+	t.round++
+	t.connect(now)
+	m := &message{
+		Host:       t.config.Host,
+		DataCentre: t.config.DataCentre,
+		Reaches:    reaches,
+		Emptied:    hint.Emptied,
+		Cold:       coldOf(hint.Cold),
 	}
-	return m
+	if t.speaks(now) {
+		t.tellCentres(*m)
+	}
+	m.Use = useOf(own)
+	for name, sum := range t.centres {
+		m.Centres = append(m.Centres, centre{
+			DataCentre: name,
+			Hosts:      sum.message.Hosts,
+			Use:        sum.message.Use,
+			Age:        now.Sub(sum.came).Milliseconds(),
+		})
+	}
+	clear(t.centres)
+	if !reaches && t.foreign != nil && now.Sub(t.came) < hintTime {
+		m.Reaches, m.Emptied, m.Cold = true, t.foreign.Emptied, t.foreign.Cold
+	}
+	t.offer(m, t.mates())
 }
 
-// news is what a message says.
-func (m *message) news() News {
-	n := News{
-		Host:    m.Host,
-		Demand:  m.Demand,
-		Leaving: m.Leaving,
-		Reaches: m.Reaches,
-		Hint: Hint{
-			Emptied: m.Emptied,
-			Cold:    make(map[string]time.Duration, len(m.Cold)),
-		},
+// tellCentres tells one host of each other data centre the sum of this one.
+func (t *Teller) tellCentres(m message) {
+	var mates []string
+	for _, h := range t.mates() {
+		mates = append(mates, h.entry.ID)
 	}
-	for id, left := range m.Cold {
-		n.Hint.Cold[id] = time.Duration(left) * time.Millisecond
+	sum, hosts := t.config.Sum(mates)
+	m.Use, m.Hosts = useOf(sum), hosts
+	var told []*host
+	for _, list := range t.others() {
+		told = append(told, list[t.round%len(list)])
 	}
-	return n
+	t.offer(&m, told)
 }
 
-// Leave tells the other hosts that this one takes no more requests.
+// Leave tells the other hosts of the data centre that this one takes no more requests.
 func (t *Teller) Leave() {
-	t.left.Store(true)
-	t.offer(message{
-		Host:    t.config.Host,
-		Leaving: true,
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left = true
+	t.offer(&message{
+		Host:       t.config.Host,
+		DataCentre: t.config.DataCentre,
+		Leaving:    true,
+	}, t.mates())
 }
 
-// offer replaces the message that waits at each link.
-func (t *Teller) offer(m message) {
-	data, err := cbor.Marshal(m)
+// Relay passes changes of entries on to the other hosts of the data centre. It never blocks: a host that misses some asks the
+// platform.
+func (t *Teller) Relay(c steer.Changes) {
+	data, err := encode(&message{
+		Host:       t.config.Host,
+		DataCentre: t.config.DataCentre,
+		Entries:    wireEntries(c),
+	})
 	if err != nil {
-		_ = level.Error(t.logger).Log("msg", "Message cannot be encoded.", "err", err)
+		_ = level.Error(t.logger).Log("msg", "Changes cannot be encoded.", "err", err)
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, l := range t.links {
-		select {
-		case <-l.news:
-		default:
+	for _, h := range t.mates() {
+		if h.link != nil {
+			h.link.pass(data)
 		}
-		l.news <- data
 	}
 }
 
-// keep opens the link again whenever it fails.
-func (t *Teller) keep(ctx context.Context, l *link) {
-	failed := false
-	for ctx.Err() == nil {
-		err := t.tell(ctx, l, &failed)
-		if ctx.Err() != nil {
-			return
-		}
-		if !failed {
-			_ = level.Warn(t.logger).Log("msg", "Link to host lost.", "host", l.host.ID, "err", err)
-			failed = true
-		}
-		timer := time.NewTimer(dialPause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
-}
-
-func (t *Teller) tell(ctx context.Context, l *link, failed *bool) error {
-	dialCtx, cancel := context.WithTimeout(ctx, dialLimit)
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.PeerAddress.String()+Path, &websocket.DialOptions{
-		HTTPClient: t.client,
-	})
-	cancel()
+// offer replaces the message that waits at each link of the given hosts.
+func (t *Teller) offer(m *message, hosts []*host) {
+	data, err := encode(m)
 	if err != nil {
-		return fmt.Errorf("open link: %w", err)
+		_ = level.Error(t.logger).Log("msg", "Message cannot be encoded.", "err", err)
+		return
 	}
-	defer func() { _ = conn.CloseNow() }() // The link has failed or is not wanted any more.
-	_ = level.Info(t.logger).Log("msg", "Link to host opened.", "host", l.host.ID, "again", *failed)
-	*failed = false
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case data := <-l.news:
-			writeCtx, cancel := context.WithTimeout(ctx, writeLimit)
-			err := conn.Write(writeCtx, websocket.MessageBinary, data)
-			cancel()
-			if err != nil {
-				return fmt.Errorf("write message: %w", err)
-			}
+	for _, h := range hosts {
+		if h.link != nil {
+			h.link.offer(data)
 		}
 	}
 }
 
-// Handler accepts the links of other hosts.
-func (t *Teller) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := websocket.Accept(w, r, nil)
-		if err != nil {
-			_ = level.Warn(t.logger).Log("msg", "Link refused.", "from", r.RemoteAddr, "err", err)
-			return
-		}
-		defer func() { _ = conn.CloseNow() }() // The other side has gone or is silent.
-		conn.SetReadLimit(maxMessage)
-		err = t.listen(r.Context(), conn)
-		if !errors.Is(err, context.Canceled) {
-			_ = level.Debug(t.logger).Log("msg", "Link from host ended.", "from", r.RemoteAddr, "err", err)
-		}
-	})
-}
-
-func (t *Teller) listen(ctx context.Context, conn *websocket.Conn) error {
-	stop := context.AfterFunc(t.ctx, func() { _ = conn.CloseNow() })
-	defer stop()
-	for {
-		readCtx, cancel := context.WithTimeout(ctx, heardLimit)
-		_, data, err := conn.Read(readCtx)
-		cancel()
-		if err != nil {
-			return err
+// take handles a message of another host.
+func (t *Teller) take(now time.Time, m *message) {
+	if m.Entries != nil {
+		t.config.Changes(now, m.Host, m.Entries.changes())
+		return
+	}
+	foreign := m.DataCentre != t.config.DataCentre
+	t.mu.Lock()
+	if h := t.hosts[m.Host]; h != nil {
+		h.heard = now
+	}
+	if foreign && m.Hosts > 0 {
+		t.centres[m.DataCentre] = &heardSum{
+			message: m,
+			came:    now,
 		}
-		var m message
-		if err := cbor.Unmarshal(data, &m); err != nil {
-			return fmt.Errorf("decode message: %w", err)
+	}
+	if foreign && m.Reaches {
+		t.foreign, t.came = m, now
+	}
+	t.mu.Unlock()
+	news := News{
+		Peer:    m.Host,
+		Made:    now,
+		Use:     reportOf(m.Use),
+		Leaving: m.Leaving,
+		Reaches: m.Reaches,
+		Hint:    m.hint(),
+	}
+	if foreign {
+		news.Peer = CentrePeer(m.DataCentre)
+	}
+	t.config.Heard(now, news)
+	for _, c := range m.Centres {
+		if c.DataCentre == t.config.DataCentre {
+			continue
 		}
-		t.config.Heard(time.Now(), m.news())
+		t.config.Heard(now, News{
+			Peer: CentrePeer(c.DataCentre),
+			Made: now.Add(-time.Duration(c.Age) * time.Millisecond),
+			Use:  reportOf(c.Use),
+		})
 	}
 }
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -1,18 +1,22 @@
 package gossip_test
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/peer/gossip"
+	"monsoonhub.example/steer/internal/quota/share"
 )
 
 // ear records what a host hears.
@@ -20,13 +24,20 @@
 	mu     sync.Mutex
 	demand map[string]float64 // Of the customer naviera, by host.
 	left   map[string]bool
+	facts  []steer.Fact
 }
 
 func (e *ear) heard(_ time.Time, news gossip.News) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.demand[news.Host] = news.Demand["naviera"]
-	e.left[news.Host] = news.Leaving
+	e.demand[news.Peer] = news.Use["naviera"].Asked
+	e.left[news.Peer] = news.Leaving
+}
+
+func (e *ear) changes(_ time.Time, _ string, c steer.Changes) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.facts = append(e.facts, c.Facts...)
 }
 
 func (e *ear) get(host string) (float64, bool) {
@@ -41,16 +52,23 @@
 	delete(e.demand, host)
 }
 
-func newHost(t *testing.T, id string, demand float64) (*gossip.Teller, *ear, steer.HostEntry) {
+func newHost(t *testing.T, id, dataCentre string, demand float64) (*gossip.Teller, *ear, steer.HostEntry) {
 	t.Helper()
+	report := share.Report{"naviera": {
+		Asked:    demand,
+		Admitted: demand / 2,
+	}}
 	e := &ear{
 		demand: map[string]float64{},
 		left:   map[string]bool{},
 	}
 	teller := gossip.New(gossip.Config{
-		Host:   id,
-		Demand: func(time.Time) map[string]float64 { return map[string]float64{"naviera": demand} },
-		Heard:  e.heard,
+		Host:       id,
+		DataCentre: dataCentre,
+		Use:        func(time.Time) share.Report { return report },
+		Sum:        func(mates []string) (share.Report, int) { return report, len(mates) + 1 },
+		Heard:      e.heard,
+		Changes:    e.changes,
 	})
 	t.Cleanup(teller.Stop)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -62,6 +80,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	return teller, e, steer.HostEntry{
 		ID:          id,
+		DataCentre:  dataCentre,
 		PeerAddress: netip.MustParseAddrPort(listener.Addr().String()),
 	}
 }
@@ -78,8 +97,8 @@
 
 // Guards against hosts that do not learn each other's demand, or that a host leaves.
 func TestHostsHearEachOther(t *testing.T) {
-	a, earA, hostA := newHost(t, "a", 10)
-	b, earB, hostB := newHost(t, "b", 20)
+	a, earA, hostA := newHost(t, "a", "golfo-a", 10)
+	b, earB, hostB := newHost(t, "b", "golfo-a", 20)
 	hosts := []steer.HostEntry{hostA, hostB}
 	a.SetHosts(time.Now(), hosts)
 	b.SetHosts(time.Now(), hosts)
@@ -116,7 +135,7 @@
 
 // Guards against a link that stays broken after the other host has started again at the same address.
 func TestOpensLinkAgain(t *testing.T) {
-	a, _, _ := newHost(t, "a", 10)
+	a, _, _ := newHost(t, "a", "golfo-a", 10)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
@@ -134,6 +153,7 @@
 	go serve(listener)
 	a.SetHosts(time.Now(), []steer.HostEntry{{
 		ID:          "b",
+		DataCentre:  "golfo-a",
 		PeerAddress: netip.MustParseAddrPort(address),
 	}})
 	for range 2 {
@@ -145,3 +165,118 @@
 	}
 	assert.NilError(t, listener.Close())
 }
+
+// Guards against a data centre that does not learn what another one uses, or that is told once for each pair of hosts.
+func TestDataCentresHearEachOther(t *testing.T) {
+	tellers, ears, hosts := map[string]*gossip.Teller{}, map[string]*ear{}, []steer.HostEntry{}
+	for _, id := range []string{"a1", "a2", "a3", "b1", "b2", "b3"} {
+		teller, e, host := newHost(t, id, "golfo-"+id[:1], 10)
+		tellers[id], ears[id] = teller, e
+		hosts = append(hosts, host)
+	}
+	for _, teller := range tellers {
+		teller.SetHosts(time.Now(), hosts)
+	}
+	until(t, func() bool {
+		for id, e := range ears {
+			other := map[string]string{"a": "golfo-b", "b": "golfo-a"}[id[:1]]
+			if demand, _ := e.get(gossip.CentrePeer(other)); demand != 10 {
+				return false
+			}
+		}
+		return true
+	})
+	for id, e := range ears {
+		for other := range ears {
+			demand, _ := e.get(other)
+			assert.Equal(t, demand != 0, id != other && id[:1] == other[:1], "%s heard %s", id, other)
+		}
+	}
+	// The next host speaks when the first one is gone.
+	tellers["a1"].Stop()
+	for _, id := range []string{"b1", "b2", "b3"} {
+		ears[id].forget(gossip.CentrePeer("golfo-a"))
+	}
+	until(t, func() bool {
+		demand, _ := ears["b3"].get(gossip.CentrePeer("golfo-a"))
+		return demand == 10
+	})
+}
+
+// Guards against changes of entries that other hosts get mutilated.
+func TestRelaysChanges(t *testing.T) {
+	a, _, hostA := newHost(t, "a", "golfo-a", 10)
+	b, earB, hostB := newHost(t, "b", "golfo-a", 20)
+	a.SetHosts(time.Now(), []steer.HostEntry{hostA, hostB})
+	b.SetHosts(time.Now(), []steer.HostEntry{hostA, hostB})
+	priority := 1
+	facts := []steer.Fact{
+		{
+			Key:      "plan",
+			Revision: 3,
+			Plan: &steer.Plan{
+				Version: 7,
+				Routes: []steer.PlanRoute{{
+					Name:    "r",
+					Kind:    steer.KindSafe,
+					Timeout: time.Second,
+					Parts: []steer.RoutePart{{
+						Service: "reservas",
+						Weight:  1,
+					}},
+				}},
+				Services: map[string]steer.PlanService{"reservas": {
+					Name:       "reservas",
+					WarmupRate: 4.7,
+				}},
+				Customers: []steer.PlanCustomer{{
+					Name:     "naviera",
+					Keys:     []string{"k"},
+					Priority: &priority,
+				}},
+			},
+		},
+		{
+			Key:      "target",
+			Revision: 4,
+			Endpoint: &steer.Endpoint{
+				ID:         "i-1",
+				Address:    netip.MustParseAddrPort("10.0.0.1:80"),
+				WarmupLeft: time.Second,
+			},
+		},
+		{
+			Key:      "host",
+			Revision: 5,
+			Host:     &hostB,
+		},
+		{
+			Key:      "gone",
+			Revision: 6,
+			Removed:  true,
+		},
+		{
+			Key:      "bad",
+			Revision: 7,
+			Problem:  errors.New("entry lacks a field"),
+		},
+	}
+	heard := func() []steer.Fact {
+		earB.mu.Lock()
+		defer earB.mu.Unlock()
+		return slices.Clone(earB.facts)
+	}
+	until(t, func() bool {
+		a.Relay(steer.Changes{
+			From:  2,
+			To:    7,
+			Facts: facts,
+		})
+		return len(heard()) > 0
+	})
+	got := heard()[:len(facts)]
+	assert.Equal(t, got[4].Problem.Error(), facts[4].Problem.Error())
+	got[4].Problem = facts[4].Problem
+	assert.DeepEqual(t, got, facts, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
+		cmp.Comparer(func(a, b error) bool { return (a == nil) == (b == nil) }))
+}
--- a/internal/quota/share/doc.go
+++ b/internal/quota/share/doc.go
@@ -1,8 +1,12 @@
-// Package share divides the quota of each customer among the hosts by their demand. It answers the load of customers whose
-// requests come unevenly to the hosts, and of one customer that sends many times its quota. It is pure: times are passed in.
+// Package share keeps the requests of each customer within its quota across all hosts. It answers the load of customers whose
+// few requests are spread over many hosts, and of one customer that sends many times its quota. It is pure: times are passed
+// in.
 //
-// Each host tells the others its demand for each customer. A host's part of a quota is an equal base and, for the rest, its
-// part of the demand that all hosts published; its own newest demand counts only once it is published, so that all hosts
-// reckon with the same figures. A part shrinks at once and grows slowly, so the sum of the parts stays near one while
-// demand moves. A host that is not heard keeps the part that it last had, until its registration ends.
+// Hosts tell each other how many requests of each customer were asked for and admitted. From that each host reckons the same
+// level, the requests that all hosts together may still admit beyond the rate of the quota, and admits the same part of its
+// requests: all while the level lasts, and from then on as many as keep the level near zero. No host has tokens of its own,
+// so a customer is not refused because its requests are spread thin.
+//
+// Hosts that are not heard keep a part of the quota: the one that they had, by demand, when they were last heard. Both sides
+// of a cut reckon with the same parts, so what the sides admit together stays within the quota.
 package share
--- a/internal/quota/share/share.go
+++ b/internal/quota/share/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,30 +10,28 @@
 )
 
 const (
-	// basePart is the part of a quota that is divided equally, so that a host without demand can serve the first requests.
+	// basePart is the part of a quota that is divided equally among hosts when they lose sight of each other, so that one
+	// without demand can serve the first requests.
 	basePart = 0.15
 
 	// fullDemand is the demand of all hosts, relative to the quota, from which it decides the parts. Below it equal parts
 	// weigh more: they suffice, and demand that is just beginning is not known evenly.
 	fullDemand = 0.5
 
-	// growTime is the time constant with which a part grows: several rounds of messages.
-	growTime = 700 * time.Millisecond
+	// levelTime is the time within which a level above or below zero is worked off: some rounds of messages, so that hosts
+	// do not correct the same deviation twice.
+	levelTime = time.Second
 
-	// demandTime is the time constant of the average of demand.
-	demandTime = 800 * time.Millisecond
+	// demandTime is the time constant of the average of demand: two rounds of messages. What arrives within one round at
+	// one host is too little to tell a rate from.
+	demandTime = 400 * time.Millisecond
 
-	// toleranceUsed is the part of the allowed excess that buckets are deep by. The rest covers messages under way.
-	toleranceUsed = 0.5
+	// toleranceUsed is the part of the allowed excess that a level may hold. The rest covers messages under way and
+	// requests that both sides of a cut admit before they notice it.
+	toleranceUsed = 0.3
 
-	// minDepth is the least depth of a bucket: one request.
-	minDepth = 1
-
-	// silentAfter is the time without a message after which a host counts as silent: several messages.
-	silentAfter = 900 * time.Millisecond
-
-	// lateAfter is the time without a message after which one is missing.
-	lateAfter = 400 * time.Millisecond
+	// silentAfter is the time without a message after which a host counts as silent: two rounds and the time of a message.
+	silentAfter = 700 * time.Millisecond
 
 	// startTime is the time for which a started host may not know or hear all others.
 	startTime = 2 * time.Second
@@ -45,6 +44,12 @@
 	// It is below holdTime by more than the term of a registration, since the others wait from the end of that.
 	isolatedAfter = 14 * time.Second
 
+	// roundTime is the least time over which the requests since the last report are taken for a rate: a round of messages.
+	roundTime = 250 * time.Millisecond
+
+	// leastTold is the number of requests per second below which nothing is told.
+	leastTold = 0.05
+
 	// retryMost bounds the time after which a refused customer may return.
 	retryMost = time.Second
 )
@@ -63,41 +68,59 @@
 	AtLeast int // Hosts that a started host counts with while it may not know all.
 }
 
-// Table is this host's part of all quotas. It is safe for concurrent use.
+// Use is the use of one customer's quota, in requests per second.
+type Use struct {
+	Asked    float64
+	Admitted float64
+}
+
+// Report is the use of quotas by customer.
+type Report map[string]Use
+
+// Peer names another host, or a group of hosts that report together.
+type Peer struct {
+	ID    string
+	Hosts int // Number of hosts behind the reports.
+}
+
+// Table is this host's view of all quotas. It is safe for concurrent use.
 type Table struct {
 	config    Config
 	mu        sync.Mutex
-	peers     map[string]*peer // Other hosts, by id.
+	peers     map[string]*peer // By id.
 	customers map[string]*customer
 	published time.Time
-	told      map[string]float64 // Demand of this host by customer, as last published.
-	demand    map[string]float64 // As published the time before, so that the others have it by now.
-	started   time.Time          // When the first quotas came.
-	contact   time.Time          // When the platform was last reached.
+	started   time.Time // When the first quotas came.
+	contact   time.Time // When the platform was last reached.
 }
 
-// peer is what is known of another host.
+// peer is what is known of another host or group.
 type peer struct {
-	demand     map[string]float64 // By customer.
-	heard      time.Time          // Zero for never.
+	hosts      float64
+	report     Report
+	heard      time.Time // Zero for never.
+	counted    bool      // The sums of customers hold its report.
 	registered bool
 	lost       time.Time          // When its registration ended.
 	parts      map[string]float64 // Of each quota, as reckoned when it was last heard.
 }
 
-// customer is the part of one customer's quota.
+// customer is the state of one customer's quota.
 type customer struct {
-	rate    float64 // Of the whole quota, in requests per second.
-	burst   float64 // Of the whole quota, in requests.
-	part    float64 // Of the quota that this host has.
-	goal    float64 // Of the part.
-	free    float64 // Part of the quota that the hosts which are heard divide.
-	hosts   float64 // Their number.
-	sum     float64 // Their demand in requests per second.
-	level   float64 // Requests that may be sent now.
-	at      time.Time
-	arrived int     // Requests since the last message.
-	demand  float64 // Requests per second.
+	rate  float64 // Of the whole quota, in requests per second.
+	burst float64 // Of the whole quota, in requests.
+
+	free   float64 // Part of the quota that the hosts which are heard use together, this one included.
+	hosts  float64 // Their number.
+	others Use     // Of the other ones that are heard.
+	own    Use     // As last published.
+
+	level  float64 // Requests that they may still admit beyond the rate; negative after too many.
+	at     time.Time
+	credit float64 // Fraction of the next request that is admitted.
+
+	asked    int // By this host since the last report.
+	admitted int
 }
 
 // New returns a table without quotas.
@@ -116,7 +139,7 @@
 	t.config.Bounds = b
 }
 
-// SetQuotas takes the quotas of a plan. Parts and levels of customers that stay are kept.
+// SetQuotas takes the quotas of a plan. What is known of customers that stay is kept.
 func (t *Table) SetQuotas(now time.Time, list []steer.PlanCustomer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -124,17 +147,16 @@
 		t.started = now
 	}
 	customers := make(map[string]*customer, len(list))
-	var fresh []*customer
 	for _, p := range list {
 		if p.Rate <= 0 {
 			continue
 		}
 		c := t.customers[p.Name]
 		if c == nil {
-			c = &customer{
-				at: now,
+			c = &customer{ // At level zero, so that what an earlier process admitted does not count twice.
+				at:     now,
+				credit: rand.Float64(),
 			}
-			fresh = append(fresh, c)
 		}
 		t.settle(now, c)
 		c.rate, c.burst = p.Rate, p.Burst
@@ -143,13 +165,10 @@
 	}
 	t.customers = customers
 	t.aim(now)
-	for _, c := range fresh {
-		c.part = c.goal // Without tokens, so that what an earlier process spent does not count twice.
-	}
 }
 
-// SetHosts takes the ids of the other hosts that are registered, and when the platform was last reached.
-func (t *Table) SetHosts(now time.Time, others []string, contact time.Time) {
+// SetPeers takes the other hosts and groups that are registered, and when the platform was last reached.
+func (t *Table) SetPeers(now time.Time, peers []Peer, contact time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.contact = contact
@@ -158,19 +177,21 @@
 			p.registered, p.lost = false, now
 		}
 	}
-	for _, id := range others {
-		if id != t.config.Host {
-			t.peer(id).registered = true
+	for _, other := range peers {
+		if other.ID != t.config.Host {
+			p := t.peer(other.ID)
+			p.registered, p.hosts = true, float64(max(other.Hosts, 1))
 		}
 	}
 	t.aim(now)
 }
 
-// peer returns what is known of another host, which is nothing at first.
+// peer returns what is known of a peer, which is nothing at first.
 func (t *Table) peer(id string) *peer {
 	p := t.peers[id]
 	if p == nil {
 		p = &peer{
+			hosts: 1,
 			parts: map[string]float64{},
 		}
 		t.peers[id] = p
@@ -178,132 +199,199 @@
 	return p
 }
 
-// Heard takes the demand of another host. A host that is leaving gives up its part at once.
-func (t *Table) Heard(now time.Time, host string, demand map[string]float64, leaving bool) {
+// Heard takes the report of a peer, which was made at the given time. Reports older than the last one are passed over.
+func (t *Table) Heard(now, made time.Time, id string, report Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if host == t.config.Host {
+	if id == t.config.Host {
+		return
+	}
+	p := t.peer(id)
+	if !made.After(p.heard) {
 		return
 	}
-	if leaving {
-		delete(t.peers, host)
+	if !p.registered {
+		p.lost = now
+	}
+	if !p.counted {
+		p.report, p.heard = report, made
+		t.aim(now)
 	} else {
-		p := t.peer(host)
-		p.demand, p.heard = demand, now
-		if !p.registered {
-			p.lost = now
-		}
+		t.replace(now, p, report)
+		p.heard = made
+	}
+	for name, c := range t.customers {
+		p.parts[name] = c.partOf(p.report[name].Asked, p.hosts)
 	}
-	t.aim(now)
-	t.record(host)
 }
 
-// record keeps the part that a host has at the moment in which it is heard: what it knows is what this host knows.
-func (t *Table) record(host string) {
-	p := t.peers[host]
-	if p == nil {
-		return
-	}
+// replace replaces the report of a peer in the sums of customers.
+func (t *Table) replace(now time.Time, p *peer, report Report) {
 	for name, c := range t.customers {
-		p.parts[name] = c.partOf(p.demand[name])
+		before, after := p.report[name], report[name]
+		if before == after {
+			continue
+		}
+		t.settle(now, c)
+		c.others.Asked += after.Asked - before.Asked
+		c.others.Admitted += after.Admitted - before.Admitted
 	}
+	p.report = report
+}
+
+// Left takes that a host is leaving: its part is free at once.
+func (t *Table) Left(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, id)
+	t.aim(now)
 }
 
 // Hosts returns the number of hosts that share the quotas, this one included.
 func (t *Table) Hosts() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.peers) + 1
+	n := 1.0
+	for _, p := range t.peers {
+		n += p.hosts
+	}
+	return int(n)
 }
 
-// Publish brings the demand of this host up to date and returns it for a message to the other hosts.
-func (t *Table) Publish(now time.Time) map[string]float64 {
+// Publish ends a round and returns the report of this host for a message to the others.
+func (t *Table) Publish(now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	elapsed := now.Sub(t.published).Seconds()
 	first := t.published.IsZero()
 	t.published = now
-	demand := map[string]float64{}
+	report := Report{}
 	for name, c := range t.customers {
-		t.settle(now, c) // Often enough that a part hardly changes between two calls.
+		t.settle(now, c)
 		if !first && elapsed > 0 {
 			weight := 1 - math.Exp(-elapsed/demandTime.Seconds())
-			c.demand += weight * (float64(c.arrived)/elapsed - c.demand)
+			c.own.Asked += weight * (float64(c.asked)/elapsed - c.own.Asked)
+			c.own.Admitted = float64(c.admitted) / elapsed
 		}
-		c.arrived = 0
-		if c.demand > leastDemand {
-			demand[name] = math.Round(c.demand*10) / 10
+		c.asked, c.admitted = 0, 0
+		if c.own.Asked > leastTold || c.own.Admitted > 0 {
+			report[name] = c.own
 		}
 	}
-	t.demand, t.told = t.told, demand
 	t.aim(now)
-	return demand
+	return report
 }
 
-// leastDemand is the demand in requests per second below which none is told.
-const leastDemand = 0.05
+// Sum returns the last reports of this host and of the given peers together, for a message that speaks for all of them. It
+// holds what silent peers last told, since they go on with it.
+func (t *Table) Sum(peers []string) (Report, int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum, hosts := Report{}, 1.0
+	for name, c := range t.customers {
+		if c.own != (Use{}) {
+			sum[name] = c.own
+		}
+	}
+	for _, id := range peers {
+		p := t.peers[id]
+		if p == nil {
+			continue
+		}
+		hosts += p.hosts
+		for name, use := range p.report {
+			total := sum[name]
+			total.Asked += use.Asked
+			total.Admitted += use.Admitted
+			sum[name] = total
+		}
+	}
+	return sum, int(hosts)
+}
 
-// aim sets the goals of all parts from the published demand. A host that is silent keeps the part that it had when it was
-// last heard, since it reckons with the same: the others divide the rest. Parts grow only while all hosts are heard or
-// known to be silent: one whose message is late may not know of the demand that others reckon with.
+// aim reckons anew who is heard. A peer that is silent keeps the part that it had when it was last heard, since it reckons
+// with the same: the others use the rest.
 func (t *Table) aim(now time.Time) {
-	var heard, silent []*peer
-	late := false
+	known := 1.0
+	var silenced []*peer
 	for id, p := range t.peers {
-		age := now.Sub(p.heard)
-		switch {
-		case !p.registered && now.Sub(p.lost) > holdTime:
+		if !p.registered && now.Sub(p.lost) > holdTime {
 			delete(t.peers, id)
-		case !p.heard.IsZero() && age < silentAfter:
-			heard = append(heard, p)
-			late = late || age > lateAfter
-		default:
-			silent = append(silent, p)
+			continue
+		}
+		counted := !p.heard.IsZero() && now.Sub(p.heard) < silentAfter
+		if p.counted && !counted {
+			silenced = append(silenced, p)
 		}
+		p.counted = counted
+		known += p.hosts
 	}
-	starting := now.Sub(t.started) < startTime
-	equal := 1 / float64(len(t.peers)+1)
-	if starting {
-		equal = 1 / float64(max(len(t.peers)+1, t.config.AtLeast))
+	equal := 1 / known
+	if now.Sub(t.started) < startTime {
+		equal = 1 / math.Max(known, float64(t.config.AtLeast))
+	}
+	alone := len(t.peers) > 0 && now.Sub(t.contact) > isolatedAfter
+	for _, p := range t.peers {
+		alone = alone && !p.counted
 	}
-	alone := len(t.peers) > 0 && len(heard) == 0 && now.Sub(t.contact) > isolatedAfter
 	for name, c := range t.customers {
-		c.free, c.hosts, c.sum = 1, float64(len(heard)+1), t.demand[name]
-		for _, p := range silent {
-			part, known := p.parts[name]
-			if !known {
-				part = equal
+		t.settle(now, c)
+		for _, p := range silenced {
+			c.level -= p.parts[name] * t.whole(c) // It may spend its part of the level from now on.
+		}
+		c.free, c.hosts, c.others = 1, 1, Use{}
+		for _, p := range t.peers {
+			if p.counted {
+				c.hosts += p.hosts
+				c.others.Asked += p.report[name].Asked
+				c.others.Admitted += p.report[name].Admitted
+				continue
+			}
+			part, ok := p.parts[name]
+			if !ok {
+				part = equal * p.hosts
 				p.parts[name] = part
 			}
 			c.free -= part
 		}
-		c.free = math.Max(c.free, 0)
-		for _, p := range heard {
-			c.sum += p.demand[name]
-		}
-		c.goal = c.partOf(t.demand[name])
-		switch {
-		case starting:
-			c.goal = math.Min(c.goal, equal)
-		case late:
-			c.goal = math.Min(c.goal, c.part)
+		if now.Sub(t.started) < startTime {
+			c.free = math.Min(c.free, equal*c.hosts)
 		}
+		c.free = math.Max(c.free, 0)
 		if alone {
-			c.goal = 0
+			c.free = 0
 		}
+		c.level = math.Min(c.level, t.depth(c))
 	}
 }
 
-// partOf returns the part of a host that is heard.
-func (c *customer) partOf(demand float64) float64 {
-	if c.sum <= 0 {
-		return c.free / c.hosts
+// partOf returns the part of the quota that hosts with a demand have among those that are heard.
+func (c *customer) partOf(asked, hosts float64) float64 {
+	total := c.others.Asked + c.own.Asked
+	if total <= 0 {
+		return c.free * hosts / c.hosts
 	}
-	byDemand := (1 - basePart) * math.Min(1, c.sum/(fullDemand*c.rate))
-	return c.free * ((1-byDemand)/c.hosts + byDemand*demand/c.sum)
+	byDemand := (1 - basePart) * math.Min(1, total/(fullDemand*c.rate))
+	return c.free * ((1-byDemand)*hosts/c.hosts + byDemand*asked/total)
 }
 
-// Take takes one request of a customer. If there is none left it reports when to return.
+// admits returns the part of the requests that is admitted. What this host was asked for since its last report counts at
+// once if it is more than it told.
+func (c *customer) admits(sinceReport time.Duration) float64 {
+	asked := float64(c.asked) / max(sinceReport, roundTime).Seconds()
+	total := c.others.Asked + math.Max(c.own.Asked, asked)
+	admitted := c.rate*c.free + c.level/levelTime.Seconds()
+	switch {
+	case admitted <= 0:
+		return 0
+	case total <= admitted:
+		return 1
+	default:
+		return admitted / total
+	}
+}
+
+// Take takes one request of a customer. If it is over the quota it reports when to return.
 func (t *Table) Take(now time.Time, name string) (bool, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -311,17 +399,20 @@
 	if c == nil {
 		return true, 0
 	}
-	c.arrived++
+	c.asked++
 	t.settle(now, c)
-	if c.level >= 1 {
+	part := c.admits(now.Sub(t.published))
+	if now.Sub(t.started) < startTime && c.own == (Use{}) && c.level < 1 {
+		part = 0 // Neither the own demand nor that of others is known: only what has been saved up since the start is safe.
+	}
+	c.credit += part
+	if c.credit >= 1 {
+		c.credit--
 		c.level--
+		c.admitted++
 		return true, 0
 	}
-	wait := retryMost
-	if rate := c.rate * c.part; rate > 0 {
-		wait = min(wait, time.Duration((1-c.level)/rate*float64(time.Second)))
-	}
-	return false, wait
+	return false, time.Duration((1 - part) * float64(retryMost))
 }
 
 // GiveBack returns a request that was taken and has not reached a target.
@@ -330,42 +421,41 @@
 	defer t.mu.Unlock()
 	if c := t.customers[name]; c != nil {
 		t.settle(now, c)
+		c.admitted--
 		c.level = math.Min(t.depth(c), c.level+1)
 	}
 }
 
-// settle brings part and level up to date.
+// settle brings the level up to date.
 func (t *Table) settle(now time.Time, c *customer) {
 	elapsed := now.Sub(c.at).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	c.at = now
-	before := c.part
-	if c.goal < c.part {
-		c.part = c.goal
-	} else {
-		c.part += (1 - math.Exp(-elapsed/growTime.Seconds())) * (c.goal - c.part)
-	}
-	c.level = math.Min(t.depth(c), c.level+elapsed*c.rate*math.Min(before, c.part))
+	c.level += elapsed * (c.rate*c.free - c.others.Admitted)
+	c.level = math.Min(t.depth(c), math.Max(-c.rate*t.config.Bounds.Window.Seconds(), c.level))
 }
 
 // depth is the most requests that may be saved up.
-func (t *Table) depth(c *customer) float64 {
+func (t *Table) depth(c *customer) float64 { return c.free * t.whole(c) }
+
+// whole is the most requests that all hosts together may save up.
+func (t *Table) whole(c *customer) float64 {
 	b := t.config.Bounds
 	excess := (c.rate*b.Window.Seconds()+c.burst)*b.Over + b.Slack
-	return math.Max(minDepth, c.part*(c.burst+toleranceUsed*excess))
+	return c.burst + toleranceUsed*excess
 }
 
-// Part is a part of a quota, for the state of a host.
+// Part is the state of one customer's quota at this host.
 type Part struct {
 	Customer string
-	Part     float64
-	Level    float64
-	Demand   float64
+	Part     float64 // Of the quota, that this host has when it loses sight of the others.
+	Level    float64 // Requests that all hosts which are heard may still admit beyond the rate.
+	Demand   float64 // Of this host, in requests per second.
 }
 
-// Part returns the part of one customer's quota.
+// Part returns the state of one customer's quota.
 func (t *Table) Part(name string) Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -378,8 +468,8 @@
 	}
 	return Part{
 		Customer: name,
-		Part:     c.part,
+		Part:     c.partOf(c.own.Asked, 1),
 		Level:    c.level,
-		Demand:   c.demand,
+		Demand:   c.own.Asked,
 	}
 }
--- a/internal/quota/share/share_test.go
+++ b/internal/quota/share/share_test.go
@@ -47,7 +47,18 @@
 type message struct {
 	from, to string
 	at       time.Time
-	demand   map[string]float64
+	report   share.Report
+}
+
+func peersOf(hosts []string) []share.Peer {
+	var peers []share.Peer
+	for _, host := range hosts {
+		peers = append(peers, share.Peer{
+			ID:    host,
+			Hosts: 1,
+		})
+	}
+	return peers
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -83,7 +94,7 @@
 
 func (f *fleet) register() {
 	for _, table := range f.tables {
-		table.SetHosts(f.now, f.hosts, f.now)
+		table.SetPeers(f.now, peersOf(f.hosts), f.now)
 	}
 }
 
@@ -100,7 +111,7 @@
 				told := table.Publish(f.now)
 				for _, to := range f.hosts {
 					if to != host && !f.cut(host, to) {
-						f.messages = append(f.messages, message{from: host, to: to, at: f.now.Add(delay), demand: told})
+						f.messages = append(f.messages, message{from: host, to: to, at: f.now.Add(delay), report: told})
 					}
 				}
 			}
@@ -119,7 +130,7 @@
 			if m.at.After(f.now) {
 				kept = append(kept, m)
 			} else if f.tables[m.to] != nil {
-				f.tables[m.to].Heard(f.now, m.from, m.demand, false)
+				f.tables[m.to].Heard(f.now, m.at.Add(-delay), m.from, m.report)
 			}
 		}
 		f.messages = kept
@@ -187,7 +198,7 @@
 				f.run(4*time.Second, hot)
 				for host, table := range f.tables {
 					if host >= "host-3" {
-						table.SetHosts(f.now, f.hosts[3:], f.now)
+						table.SetPeers(f.now, peersOf(f.hosts[3:]), f.now)
 					}
 				}
 				f.run(12*time.Second, hot)
@@ -289,8 +300,8 @@
 	f.hosts = f.hosts[:3]
 	delete(f.tables, "host-3")
 	for _, table := range f.tables {
-		table.SetHosts(f.now, f.hosts, f.now)
-		table.Heard(f.now, "host-3", nil, true)
+		table.SetPeers(f.now, peersOf(f.hosts), f.now)
+		table.Left(f.now, "host-3")
 	}
 	f.run(5*time.Second, even(rate, 3))
 	sum := 0.0
--- a/platform.go
+++ b/platform.go
@@ -120,6 +120,13 @@
 	Problem  error  // The entry cannot be read.
 }
 
+// Changes are the changes of entries between two revisions.
+type Changes struct {
+	From  uint64 // Revision after which they came.
+	To    uint64 // Revision from which to continue.
+	Facts []Fact
+}
+
 // Catalog is the part of the platform that hosts read: the plan, the targets, data centres to be emptied, other hosts.
 // Every call counts towards the limits of the platform. Calls fail with ErrDown when it is not reachable, and writes
 // with ErrUnknown when the answer was lost.
