Do not risk bookings on connections that rested

Change: a request that may run once uses a connection only if it was in use within 100 ms. A query whose idle connection broke goes to the same target over a new one. Guarded by back.TestBookingsDoNotUseRestedConnections and pass.TestForgottenConnectionIsNoFailure; both fail without the change.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -29,6 +29,10 @@
 	// silent.
 	unackedLimit = 700 * time.Millisecond
 
+	// restLimit is the idle time from which a connection is not used for a request that may run once: a target may have
+	// forgotten it, and after a reset nobody knows whether the request has run. Targets were seen to forget after 300 ms.
+	restLimit = 100 * time.Millisecond
+
 	// maxIdle bounds the idle connections to one target.
 	maxIdle = 16
 
@@ -47,6 +51,7 @@
 	HasBody   bool
 	RequestID string
 	Deadline  time.Time
+	Once      bool // It may run once only, so it goes over a connection that was in use just now or is new.
 }
 
 // Result is what became of a call.
@@ -164,7 +169,7 @@
 func (p *Pool) Do(ctx context.Context, call Call) Result {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	w, reused, err := p.get(ctx, call.Endpoint)
+	w, reused, err := p.get(ctx, &call)
 	if err != nil {
 		return Result{
 			Verdict: steer.NotRun,
@@ -186,13 +191,18 @@
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, e *steer.Endpoint) (*wire, bool, error) {
+func (p *Pool) get(ctx context.Context, call *Call) (*wire, bool, error) {
 	now := time.Now()
+	e := call.Endpoint
 	for {
 		w := p.pop(e.ID)
 		if w == nil {
 			break
 		}
+		if call.Once && now.Sub(w.rested) > restLimit {
+			p.keep(e.ID, w)
+			break
+		}
 		if now.Before(w.until) && w.address == e.Address && w.quiet() {
 			return w, true, nil
 		}
@@ -219,14 +229,20 @@
 }
 
 func (p *Pool) put(e *steer.Endpoint, w *wire) {
-	w.until = time.Now().Add(w.keep)
+	w.rested = time.Now()
+	w.until = w.rested.Add(w.keep)
+	p.keep(e.ID, w)
+}
+
+// keep puts the connection behind those that are idle for longer.
+func (p *Pool) keep(id string, w *wire) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[e.ID]) >= maxIdle {
+	if len(p.idle[id]) >= maxIdle {
 		w.close()
 		return
 	}
-	p.idle[e.ID] = append(p.idle[e.ID], w)
+	p.idle[id] = append(p.idle[id], w)
 }
 
 // parseLoad reads running, waiting and slots.
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -251,6 +251,28 @@
 	}
 }
 
+// Guards against a booking whose outcome is unknown because the target had forgotten an idle connection.
+func TestBookingsDoNotUseRestedConnections(t *testing.T) {
+	s := newScript(t, func(connection, request int) string {
+		if connection == 1 && request == 2 {
+			return "|RESET"
+		}
+		return ok("b")
+	})
+	p := pool(t)
+	first := p.Do(context.Background(), call(s, "1"))
+	assert.NilError(t, first.Err)
+	time.Sleep(200 * time.Millisecond)
+	booking := call(s, "2")
+	booking.Once = true
+	second := p.Do(context.Background(), booking)
+	assert.NilError(t, second.Err)
+	assert.Equal(t, second.Reused, false)
+	third := p.Do(context.Background(), booking)
+	assert.NilError(t, third.Err)
+	assert.Equal(t, third.Reused, true, "a connection that was in use just now serves")
+}
+
 // Guards against a request that cannot have been sent and is taken for one that may have run.
 func TestNoConnectionMeansNotRun(t *testing.T) {
 	s := newScript(t, func(int, int) string { return "" })
--- a/internal/edge/back/wire.go
+++ b/internal/edge/back/wire.go
@@ -43,6 +43,7 @@
 	reader  *bufio.Reader
 	address netip.AddrPort
 	keep    time.Duration // Time for which it may be idle.
+	rested  time.Time     // Since when it is idle.
 	until   time.Time     // End of that time.
 	clean   bool          // The last exchange is over and the connection may serve another.
 }
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -87,6 +87,8 @@
 	tries    []try
 	tried    []string // Ids of targets.
 	arrived  int      // Tries that may have reached a target.
+
+	forgotten bool // The last try broke on a connection that had been idle.
 }
 
 // try is one attempt at a target, for the log.
--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -248,6 +248,25 @@
 	}
 }
 
+// Guards against a target that forgot an idle connection and is left alone for it, while its objects go to others.
+func TestForgottenConnectionIsNoFailure(t *testing.T) {
+	const forgotten = 2 // Within the budget of repeats.
+	w := newWorld(t, 3, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n%2 == 0 && n <= 2*forgotten {
+			vanish(n, rw, r)
+		}
+		run(n, rw, r)
+	})
+	for range forgotten + 2 {
+		assert.Equal(t, w.send("/query/1").Status, 200)
+		time.Sleep(20 * time.Millisecond)
+	}
+	seen := w.requests()
+	for _, r := range seen {
+		assert.Equal(t, r.Header.Get("Expected"), seen[0].Header.Get("Expected"))
+	}
+}
+
 // Guards against requests that are refused after they have waited, or refused with a status that says something else.
 func TestRefusesAtOnce(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -95,20 +95,26 @@
 		HasBody:   j.request.HasBody,
 		RequestID: j.id,
 		Deadline:  j.deadline,
+		Once:      j.route.Kind != steer.KindSafe || j.forgotten,
 	})
 	now := time.Now()
 	took := now.Sub(started)
+	broke := result.Status == 0 && !errors.Is(result.Err, context.DeadlineExceeded)
+	// A target that forgot an idle connection is not unwell: the request goes to it again, over a new connection.
+	j.forgotten = broke && result.Reused
 	outcome := place.Outcome{
 		Latency: took,
 		Load:    result.Load,
 		Failed:  result.Status == 0 || result.Verdict == steer.Ran && result.Status >= http.StatusInternalServerError,
-		Broke:   result.Status == 0 && !errors.Is(result.Err, context.DeadlineExceeded),
+		Broke:   broke,
 		Shed:    result.Verdict == steer.NotRun && result.Status != 0,
 		Gone:    result.Gone,
-		Left:    ctx.Err() != nil,
+		Void:    ctx.Err() != nil || j.forgotten,
 	}
 	h.config.Placer.Done(now, choice, outcome)
-	j.tried = append(j.tried, choice.Target.ID)
+	if !j.forgotten {
+		j.tried = append(j.tried, choice.Target.ID)
+	}
 	j.tries = append(j.tries, try{
 		target:   choice.Target.ID,
 		estimate: choice.Estimate,
--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -118,7 +118,7 @@
 		n.gone = true
 		return
 	}
-	if o.Left {
+	if o.Void {
 		return
 	}
 	if n.judge(now, started, o.Failed) && o.Broke {
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -52,7 +52,7 @@
 	Broke   bool              // No connection, or one that ended without an answer: the target may have started anew.
 	Shed    bool              // The target refused.
 	Gone    bool              // Another target has the address.
-	Left    bool              // The caller left, which says nothing of the target.
+	Void    bool              // It says nothing of the target: the caller left, or an idle connection was forgotten.
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -124,7 +124,7 @@
 	defer p.mu.Unlock()
 	s := p.services[c.Target.Service] // Services are never dropped.
 	c.node.finish(now, c.started, o, s.warmup)
-	if o.Left {
+	if o.Void {
 		return
 	}
 	if !o.Failed && !o.Shed {
