--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -29,10 +29,14 @@
 	// silent.
 	unackedLimit = 700 * time.Millisecond
 
-	// restLimit is the idle time from which a connection is not used for a request that may run once: a target may have
-	// forgotten it, and after a reset nobody knows whether the request has run. Targets were seen to forget after 300 ms.
+	// restLimit is the idle time from which a connection is not used for a request that may run once, while targets forget
+	// idle connections: after a reset nobody knows whether the request has run. Targets were seen to forget after 300 ms.
 	restLimit = 100 * time.Millisecond
 
+	// forgetTime is the time for which targets count as forgetful after an idle connection broke. A new connection costs a
+	// round trip, which is 70 ms between regions, so it is not opened without a reason.
+	forgetTime = 10 * time.Second
+
 	// maxIdle bounds the idle connections to one target.
 	maxIdle = 16
 
@@ -51,7 +55,8 @@
 	HasBody   bool
 	RequestID string
 	Deadline  time.Time
-	Once      bool // It may run once only, so it goes over a connection that was in use just now or is new.
+	Once      bool // It may run once only: while targets forget idle connections it does not go over one that rested.
+	Fresh     bool // It needs a new connection.
 }
 
 // Result is what became of a call.
@@ -85,6 +90,7 @@
 	strays  metrics.Counter
 	mu      sync.Mutex
 	idle    map[string][]*wire // By target id, longest idle first.
+	forgets time.Time          // Until when targets count as forgetful.
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -181,6 +187,9 @@
 	result.Reused = reused
 	if !stop() || !w.clean {
 		w.close()
+		if reused && result.Status == 0 && ctx.Err() == nil {
+			p.forgotten(time.Now())
+		}
 		if cause := context.Cause(ctx); result.Err != nil && cause != nil {
 			result.Err = errors.Join(cause, result.Err)
 		}
@@ -194,12 +203,12 @@
 func (p *Pool) get(ctx context.Context, call *Call) (*wire, bool, error) {
 	now := time.Now()
 	e := call.Endpoint
-	for {
+	for !call.Fresh {
 		w := p.pop(e.ID)
 		if w == nil {
 			break
 		}
-		if call.Once && now.Sub(w.rested) > restLimit {
+		if call.Once && now.Sub(w.rested) > restLimit && p.forgetful(now) {
 			p.keep(e.ID, w)
 			break
 		}
@@ -216,6 +225,19 @@
 	return newWire(socket, e.Address), false, nil
 }
 
+// forgotten notes that an idle connection broke.
+func (p *Pool) forgotten(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forgets = now.Add(forgetTime)
+}
+
+func (p *Pool) forgetful(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.forgets)
+}
+
 func (p *Pool) pop(id string) *wire {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -95,7 +95,8 @@
 		HasBody:   j.request.HasBody,
 		RequestID: j.id,
 		Deadline:  j.deadline,
-		Once:      j.route.Kind != steer.KindSafe || j.forgotten,
+		Once:      j.route.Kind != steer.KindSafe,
+		Fresh:     j.forgotten,
 	})
 	now := time.Now()
 	took := now.Sub(started)
