Share what hosts see of busy and failing targets within a region

Cause: 72 hosts send 0.1 requests a second each to a target, so each reckons with its own requests alone and the queues of targets fill until requests run into their time limits.

Change: hosts tell load and failures of targets that are busy or fail to their data centre each round, and the speaker tells the other data centres of the region.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -163,9 +163,12 @@
 	n.teller = gossip.New(gossip.Config{
 		Host:       s.HostID,
 		DataCentre: s.DataCentre,
+		Region:     s.Region,
 		Use:        n.quotas.Publish,
 		Sum:        n.quotas.Sum,
 		Hint:       n.hint,
+		Notes:      n.placer.Notes,
+		Noted:      n.placer.Learn,
 		Heard:      n.heard,
 		Changes:    n.changes,
 		Logger:     c.Logger,
--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/belief"
 )
 
@@ -47,6 +48,10 @@
 	gentle   time.Time // Treated as cold until then.
 	seed     uint64    // Hash of its id.
 	gone     bool      // Another target has its address.
+	total    float64   // Requests at the target as this host last saw reported, its own included.
+	answered int       // Requests of this host since the last note.
+	failed   int
+	told     bool      // The last note said that the target is busy.
 	tokens   float64   // Of a cold target.
 	filled   time.Time // When tokens was reckoned; zero while the target is warm.
 }
@@ -111,8 +116,7 @@
 func (n *node) finish(now, started time.Time, o Outcome, warmup time.Duration) {
 	n.flight--
 	if o.Load != nil {
-		n.others = math.Max(0, float64(o.Load.Running+o.Load.Waiting-n.flight))
-		n.reported = now
+		n.report(now, *o.Load)
 	}
 	if o.Gone {
 		n.gone = true
@@ -121,11 +125,66 @@
 	if o.Void {
 		return
 	}
+	if o.Failed {
+		n.failed++
+	} else {
+		n.answered++
+	}
 	if n.judge(now, started, o.Failed) && o.Broke {
 		n.gentle = n.ejected.Add(warmup)
 	}
 }
 
+// report takes a reported load.
+func (n *node) report(at time.Time, load steer.TargetLoad) {
+	n.total = float64(load.Running + load.Waiting)
+	n.others = math.Max(0, n.total-float64(n.flight))
+	n.reported = at
+}
+
+// noteUse is the use from which other hosts are told the load of a target: below it nobody needs to know.
+const noteUse = 0.7
+
+// note returns what other hosts should know of the target since the last note, and reports whether there is anything.
+func (n *node) note(now time.Time) (steer.TargetNote, bool) {
+	age := n.age(now)
+	fresh := age >= 0 && age < reportLife
+	busy := fresh && n.total >= noteUse*n.slots()
+	note := steer.TargetNote{
+		Target:   n.target.ID,
+		Answered: n.answered,
+		Failed:   n.failed,
+	}
+	if fresh {
+		note.Age = age
+		note.Load = steer.TargetLoad{
+			Running: int(math.Min(n.total, n.slots())),
+			Waiting: int(math.Max(0, n.total-n.slots())),
+			Slots:   n.target.Slots,
+		}
+	}
+	tell := n.failed > 0 || (n.answered > 0 && (busy || n.told || n.fails > 0))
+	if tell {
+		n.told = busy
+	}
+	n.answered, n.failed = 0, 0
+	return note, tell
+}
+
+// learn takes the note of another host.
+func (n *node) learn(now time.Time, note steer.TargetNote) {
+	if at := now.Add(-note.Age); note.Load.Slots > 0 && at.After(n.reported) {
+		n.report(at, note.Load)
+	}
+	if note.Answered > 0 {
+		n.judge(now, now, false)
+		return
+	}
+	for range min(note.Failed, failLimit) {
+		n.judge(now, now, true)
+	}
+}
+
 // judge counts failures in a row, and reports whether the target is left alone from now on. A failure of a request that
 // started before it was left alone tells nothing new.
 func (n *node) judge(now, started time.Time, failed bool) bool {
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -132,6 +132,34 @@
 	}
 }
 
+// Notes returns what this host saw of targets since the last call and other hosts should know.
+func (p *Placer) Notes(now time.Time) []steer.TargetNote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var notes []steer.TargetNote
+	for _, s := range p.services {
+		for _, n := range s.nodes {
+			if note, ok := n.note(now); ok {
+				notes = append(notes, note)
+			}
+		}
+	}
+	return notes
+}
+
+// Learn takes notes of other hosts.
+func (p *Placer) Learn(now time.Time, notes []steer.TargetNote) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, note := range notes {
+		for _, s := range p.services {
+			if n := s.nodes[note.Target]; n != nil {
+				n.learn(now, note)
+			}
+		}
+	}
+}
+
 // refuse returns a refusal of a request that was not sent.
 func refuse(reason steer.Reason, after time.Duration) *steer.Refusal {
 	return &steer.Refusal{
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -39,9 +39,12 @@
 type Config struct {
 	Host       string
 	DataCentre string
+	Region     string
 	Use        func(now time.Time) share.Report                  // Of this host. Called once for each round.
 	Sum        func(peers []string) (share.Report, int)          // Of this host and others together, with their number.
 	Hint       func(now time.Time) (Hint, bool)                  // For hosts that do not reach the platform; false without one.
+	Notes      func(now time.Time) []steer.TargetNote            // What this host saw of targets since the last round. Nil means nothing.
+	Noted      func(now time.Time, notes []steer.TargetNote)     // Called for what others of the region saw.
 	Heard      func(now time.Time, news News)                    // Called for each message with news of quotas and hints.
 	Changes    func(now time.Time, from string, c steer.Changes) // Called for changes of entries.
 	Logger     log.Logger                                        // Nil means no logging.
@@ -80,6 +83,8 @@
 	round   int
 	hosts   map[string]*host     // Others, by id.
 	centres map[string]*heardSum // What other data centres told this host since the last round.
+	seen    []agedNote           // Notes of the own data centre for others of the region.
+	passed  []agedNote           // Notes of those for the own data centre.
 	foreign *message             // The last message of another data centre that reaches the platform.
 	came    time.Time            // When foreign came.
 }
@@ -98,6 +103,36 @@
 	came    time.Time
 }
 
+// agedNote is a note with the time to which its age refers.
+type agedNote struct {
+	note steer.TargetNote
+	at   time.Time
+}
+
+// maxNotes bounds the notes that wait for a message: some for each target of a large region.
+const maxNotes = 1000
+
+func collect(now time.Time, list []agedNote, notes []steer.TargetNote) []agedNote {
+	for _, n := range notes {
+		if len(list) < maxNotes {
+			list = append(list, agedNote{
+				note: n,
+				at:   now,
+			})
+		}
+	}
+	return list
+}
+
+func current(now time.Time, list []agedNote) []steer.TargetNote {
+	notes := make([]steer.TargetNote, 0, len(list))
+	for _, a := range list {
+		a.note.Age += now.Sub(a.at)
+		notes = append(notes, a.note)
+	}
+	return notes
+}
+
 // New starts to tell.
 func New(c Config) *Teller {
 	if c.Logger == nil {
@@ -106,6 +141,12 @@
 	if c.Hint == nil {
 		c.Hint = func(time.Time) (Hint, bool) { return Hint{}, false }
 	}
+	if c.Notes == nil {
+		c.Notes = func(time.Time) []steer.TargetNote { return nil }
+	}
+	if c.Noted == nil {
+		c.Noted = func(time.Time, []steer.TargetNote) {}
+	}
 	if c.Changes == nil {
 		c.Changes = func(time.Time, string, steer.Changes) {}
 	}
@@ -262,6 +303,7 @@
 
 func (t *Teller) tellAll(now time.Time) {
 	own := t.config.Use(now)
+	notes := t.config.Notes(now)
 	hint, reaches := t.config.Hint(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -277,10 +319,14 @@
 		Emptied:    hint.Emptied,
 		Cold:       coldOf(hint.Cold),
 	}
+	t.seen = collect(now, t.seen, notes)
 	if t.speaks(now) {
-		t.tellCentres(*m)
+		t.tellCentres(now, *m)
 	}
+	t.seen = t.seen[:0]
 	m.Use = useOf(own)
+	m.Notes, m.Passed = notesOf(notes), notesOf(current(now, t.passed))
+	t.passed = t.passed[:0]
 	for name, sum := range t.centres {
 		m.Centres = append(m.Centres, centre{
 			DataCentre: name,
@@ -296,19 +342,26 @@
 	t.offer(m, t.mates())
 }
 
-// tellCentres tells one host of each other data centre the sum of this one.
-func (t *Teller) tellCentres(m message) {
+// tellCentres tells one host of each other data centre the sum of this one, and those of the region what was seen of targets.
+func (t *Teller) tellCentres(now time.Time, m message) {
 	var mates []string
 	for _, h := range t.mates() {
 		mates = append(mates, h.entry.ID)
 	}
 	sum, hosts := t.config.Sum(mates)
 	m.Use, m.Hosts = useOf(sum), hosts
-	var told []*host
+	var near, far []*host
 	for _, list := range t.others() {
-		told = append(told, list[t.round%len(list)])
+		h := list[t.round%len(list)]
+		if h.entry.Region == t.config.Region {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
+		}
 	}
-	t.offer(&m, told)
+	t.offer(&m, far)
+	m.Notes = notesOf(current(now, t.seen))
+	t.offer(&m, near)
 }
 
 // Leave tells the other hosts of the data centre that this one takes no more requests.
@@ -365,7 +418,14 @@
 		return
 	}
 	foreign := m.DataCentre != t.config.DataCentre
+	notes := targetNotes(m.Notes)
+	t.config.Noted(now, append(targetNotes(m.Passed), notes...))
 	t.mu.Lock()
+	if foreign {
+		t.passed = collect(now, t.passed, notes)
+	} else {
+		t.seen = collect(now, t.seen, notes)
+	}
 	if h := t.hosts[m.Host]; h != nil {
 		h.heard = now
 	}
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -25,13 +25,27 @@
 	Leaving    bool             `cbor:"leaving,omitempty"`
 	Reaches    bool             `cbor:"reaches,omitempty"` // Emptied and Cold are set.
 	Emptied    []string         `cbor:"emptied,omitempty"`
-	Cold       map[string]int64 `cbor:"cold,omitempty"` // Milliseconds left by target.
+	Cold       map[string]int64 `cbor:"cold,omitempty"`   // Milliseconds left by target.
+	Notes      []note           `cbor:"notes,omitempty"`  // What hosts of the data centre saw.
+	Passed     []note           `cbor:"passed,omitempty"` // What other data centres of the region told the sender.
 	Entries    *entries         `cbor:"entries,omitempty"`
 }
 
 // use holds what was asked and admitted, in hundredths of a request per second.
 type use [2]uint32
 
+// note is a steer.TargetNote.
+type note struct {
+	_        struct{} `cbor:",toarray"`
+	Target   string
+	Running  int
+	Waiting  int
+	Slots    int // 0 without a report.
+	Answered int
+	Failed   int
+	Age      int64 // Milliseconds.
+}
+
 // centre is what another data centre told the sender.
 type centre struct {
 	DataCentre string         `cbor:"data-centre"`
@@ -89,6 +103,40 @@
 	return out
 }
 
+func notesOf(list []steer.TargetNote) []note {
+	out := make([]note, 0, len(list))
+	for _, n := range list {
+		out = append(out, note{
+			Target:   n.Target,
+			Running:  n.Load.Running,
+			Waiting:  n.Load.Waiting,
+			Slots:    n.Load.Slots,
+			Answered: n.Answered,
+			Failed:   n.Failed,
+			Age:      n.Age.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func targetNotes(list []note) []steer.TargetNote {
+	out := make([]steer.TargetNote, 0, len(list))
+	for _, n := range list {
+		out = append(out, steer.TargetNote{
+			Target: n.Target,
+			Load: steer.TargetLoad{
+				Running: n.Running,
+				Waiting: n.Waiting,
+				Slots:   n.Slots,
+			},
+			Answered: n.Answered,
+			Failed:   n.Failed,
+			Age:      time.Duration(n.Age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 func coldOf(cold map[string]time.Duration) map[string]int64 {
 	out := make(map[string]int64, len(cold))
 	for id, left := range cold {
--- a/platform.go
+++ b/platform.go
@@ -96,6 +96,15 @@
 	Slots   int // Requests that it can work on at once.
 }
 
+// TargetNote is what hosts saw of a target in a short time.
+type TargetNote struct {
+	Target   string        // ID.
+	Load     TargetLoad    // As last reported; Slots is 0 without a report.
+	Answered int           // Requests that it answered.
+	Failed   int           // Requests that it failed or did not answer.
+	Age      time.Duration // Of the report.
+}
+
 // HostEntry is a host as it is registered on the platform.
 type HostEntry struct {
 	ID          string         `json:"id"`
