Send what leaves a full region to the home of its object in another

Cause: hosts know no loads of other regions, so the least busy target there was any one, and a request that left its region ran at a target that did not know its object, mostly in the region with the fewest targets.

Change: it goes to the target that the key has in the other regions, which learns the object.

--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -190,7 +190,7 @@
 	}
 	n := home
 	if home.use(now) >= s.limit(&ask) || s.connected(home) {
-		if n = s.overflow(now, ask, region); n == nil {
+		if n = s.overflow(now, ask, hash, region); n == nil {
 			return nil, false, steer.ReasonCapacity
 		}
 	}
@@ -201,24 +201,19 @@
 	return n, n == home, ""
 }
 
-// overflow returns the least busy target of other regions, if one more request may leave its region. Other targets of the
-// region are not tried: they do not know the object, work three times as long on it, and forget another one for it, which
-// makes everything slower when all are busy.
-func (s *service) overflow(now time.Time, ask Ask, region string) *node {
+// overflow returns the home of the key in the other regions, if that has room and one more request may leave its region. It
+// is the same target each time, so it learns the object. Other targets of the region are not tried: they do not know the
+// object, work three times as long on it, and forget another one for it, which makes everything slower when all are busy.
+func (s *service) overflow(now time.Time, ask Ask, hash uint64, region string) *node {
 	if !s.mayLeave() {
 		return nil
 	}
-	var best *node
-	least := overflowUse
-	for n := range s.usable(now, ask, func(other string) bool { return other != region && ask.allowed(other) }) {
-		if use := n.use(now); use < least && !s.connected(n) {
-			best, least = n, use
-		}
-	}
-	if best != nil {
-		s.spilled++
+	n := s.home(now, ask, hash, func(other string) bool { return other != region && ask.allowed(other) })
+	if n == nil || n.use(now) >= overflowUse || s.connected(n) {
+		return nil
 	}
-	return best
+	s.spilled++
+	return n
 }
 
 // connected reports whether a target has all the connections that this host may open.
