Leave room at targets for more urgent requests

Change: a request is sent only while the queue is short enough for the more urgent classes that were asked for lately, and one that works longer than their objective leaves a slot free.

--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -463,3 +464,63 @@
 	}
 	assert.Equal(t, sent, 3*slots)
 }
+
+// Guards against long requests of little urgency that take all slots and make urgent ones wait longer than they may. Load:
+// each target gets 5 requests a second that work for 1.4 s and 15 urgent ones that work for 0.25 s and may take 0.5 s.
+func TestLongRequestsLeaveRoomForUrgentOnes(t *testing.T) {
+	p := placer(t, 1, target(1, "golfo-a"))
+	type running struct {
+		c     place.Choice
+		class string
+		end   time.Time
+	}
+	var open []running
+	free := make([]time.Time, slots)
+	sent, late, refused := 0, 0, 0
+	work := map[string]time.Duration{"report": 1400 * time.Millisecond, "assign": 250 * time.Millisecond}
+	request := func(now time.Time, class string, objective time.Duration, priority int) (time.Duration, bool) {
+		a := ask("1")
+		a.Class, a.Objective, a.Priority, a.Left = class, objective, priority, 3*time.Second
+		c, refusal := p.Pick(now, a)
+		if refusal != nil {
+			return 0, false
+		}
+		slices.SortFunc(free, func(a, b time.Time) int { return a.Compare(b) })
+		begin := now
+		if free[0].After(now) {
+			begin = free[0]
+		}
+		free[0] = begin.Add(work[class])
+		open = append(open, running{
+			c:     c,
+			class: class,
+			end:   free[0],
+		})
+		return free[0].Sub(now), true
+	}
+	for ms := 0; ms < 30_000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		open = slices.DeleteFunc(open, func(r running) bool {
+			if r.end.After(now) {
+				return false
+			}
+			p.Done(r.end, r.c, place.Outcome{Latency: work[r.class]})
+			return true
+		})
+		if ms%200 == 0 {
+			request(now, "report", 3*time.Second, 2)
+		}
+		if ms%70 == 0 && ms > 3000 {
+			took, ok := request(now, "assign", 500*time.Millisecond, 0)
+			switch {
+			case !ok:
+				refused++
+			case took > 500*time.Millisecond:
+				late++
+			}
+			sent++
+		}
+	}
+	t.Logf("urgent: %d sent, %d late, %d refused", sent, late, refused)
+	assert.Assert(t, float64(late+refused) < 0.05*float64(sent), "%d late, %d refused of %d", late, refused, sent)
+}
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -39,6 +39,12 @@
 	// spillMost bounds that part.
 	spillMost = 0.5
 
+	// activeTime is the time for which room is left for more urgent requests after the last one of a class.
+	activeTime = 2 * time.Second
+
+	// urgentBy is how much lower the mean priority of a class must be for its requests to count as more urgent.
+	urgentBy = 0.5
+
 	// maxClasses bounds the kinds of requests whose work is known: some times the routes of a plan.
 	maxClasses = 4096
 )
@@ -55,15 +61,27 @@
 // worth little, and a long queue makes all late: what does not fit is refused, the less urgent first.
 var aimPart = []float64{1.6, 1.3, 1.0}
 
-// limit returns the use from which requests are refused, so that those that are sent are answered in time.
-func (s *service) limit(ask *Ask) float64 {
+// limit returns the use of a target from which requests are refused, so that those that are sent are answered in time. A
+// request leaves room for more urgent ones: it may not make them wait longer than their objective allows, and one that works
+// for longer than that leaves a slot free for them.
+func (s *service) limit(ask *Ask, n *node) float64 {
 	part := aimPart[min(max(ask.Priority, 0), len(aimPart)-1)]
 	work := s.work.value
 	if work == 0 || ask.Objective == 0 {
 		return mostUse
 	}
-	queue := (part*ask.Objective.Seconds() - s.workOf(ask.Class)) / work
-	return math.Min(mostUse, math.Max(leastUse, 1+queue))
+	own := s.workOf(ask.Class)
+	limit := math.Min(mostUse, math.Max(leastUse, 1+(part*ask.Objective.Seconds()-own)/work))
+	for _, c := range s.active {
+		if c.priority.value > float64(ask.Priority)-urgentBy || c.objective == 0 {
+			continue
+		}
+		limit = math.Min(limit, math.Max(leastUse, 1+(c.objective-c.work.value)/work))
+		if own > c.objective {
+			limit = math.Min(limit, 1-1/n.slots())
+		}
+	}
+	return limit
 }
 
 // service is what this host knows of the targets of one service.
@@ -76,7 +94,8 @@
 	moved    time.Time
 	typical  average // Seconds of an answer.
 	work     average // Seconds of an answer without the wait in the target's queue.
-	classes  map[string]*average
+	classes  map[string]*class
+	active   []*class      // Those that were asked for lately.
 	warmup   time.Duration // Time for which a started target is cold.
 	rate     float64       // Requests per second that a cold target may get from this host.
 
@@ -92,7 +111,7 @@
 func newService() *service {
 	return &service{
 		nodes:   map[string]*node{},
-		classes: map[string]*average{},
+		classes: map[string]*class{},
 	}
 }
 
@@ -153,6 +172,7 @@
 func (s *service) move(now time.Time) {
 	if now.Sub(s.moved) >= advanceEvery {
 		s.advance(now)
+		s.activate(now)
 	}
 	if elapsed := now.Sub(s.spillTime); elapsed >= time.Second {
 		part := 0.0
@@ -174,6 +194,7 @@
 // choose returns the target for a request: the one for its key in the region of its key, while that has room.
 func (s *service) choose(now time.Time, ask Ask, position float64, hash uint64, c Config) (*node, bool, steer.Reason) {
 	s.asked++
+	s.class(ask.Class).ask(now, &ask)
 	region := pick(s.regions, position)
 	if !ask.allowed(region) || s.caps[region] == 0 {
 		region = s.nearest(ask, c)
@@ -189,7 +210,7 @@
 		return nil, false, steer.ReasonNoTarget
 	}
 	n := home
-	if home.use(now) >= s.limit(&ask) || s.connected(home) {
+	if home.use(now) >= s.limit(&ask, home) || s.connected(home) {
 		if n = s.overflow(now, ask, hash, region); n == nil {
 			return nil, false, steer.ReasonCapacity
 		}
@@ -263,25 +284,52 @@
 }
 
 // learn takes the time of an answer, and the use of the target when the request was sent.
-func (s *service) learn(class string, latency time.Duration, use float64) {
+func (s *service) learn(name string, latency time.Duration, use float64) {
 	s.typical.add(latency.Seconds())
 	work := latency.Seconds() / math.Max(1, use)
 	s.work.add(work)
-	c := s.classes[class]
+	s.class(name).work.add(work)
+}
+
+// class is what is known of requests that take about the same work.
+type class struct {
+	work      average // Seconds of an answer without the wait in the target's queue.
+	objective float64 // Seconds, of the last request.
+	priority  average // Of requests; customers have priorities of their own.
+	asked     time.Time
+}
+
+func (s *service) class(name string) *class {
+	c := s.classes[name]
 	if c == nil {
 		if len(s.classes) >= maxClasses {
 			clear(s.classes)
 		}
-		c = &average{}
-		s.classes[class] = c
+		c = &class{}
+		s.classes[name] = c
+	}
+	return c
+}
+
+func (c *class) ask(now time.Time, a *Ask) {
+	c.objective, c.asked = a.Objective.Seconds(), now
+	c.priority.add(float64(a.Priority))
+}
+
+// activate renews the list of classes that were asked for lately.
+func (s *service) activate(now time.Time) {
+	s.active = s.active[:0]
+	for _, c := range s.classes {
+		if now.Sub(c.asked) < activeTime {
+			s.active = append(s.active, c)
+		}
 	}
-	c.add(work)
 }
 
 // workOf is the work in seconds of a request of a class.
-func (s *service) workOf(class string) float64 {
-	if c := s.classes[class]; c != nil {
-		return c.value
+func (s *service) workOf(name string) float64 {
+	if c := s.classes[name]; c != nil && c.work.count > 0 {
+		return c.work.value
 	}
 	return s.work.value
 }
