Count timeouts for the work of a class, and reports for as long as the work takes

A reported load was forgotten after 0.8 s though requests work for up to 4.8 s.

Change: a request without an answer in time counts as the least work that it would have had; reports count for two works.

--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -100,13 +100,15 @@
 	})
 	now := time.Now()
 	took := now.Sub(started)
-	broke := result.Status == 0 && !errors.Is(result.Err, context.DeadlineExceeded)
+	late := result.Status == 0 && errors.Is(result.Err, context.DeadlineExceeded)
+	broke := result.Status == 0 && !late
 	// A target that forgot an idle connection is not unwell: the request goes to it again, over a new connection.
 	j.forgotten = broke && result.Reused
 	outcome := place.Outcome{
 		Latency: took,
 		Load:    result.Load,
 		Failed:  result.Status == 0 || result.Verdict == steer.Ran && result.Status >= http.StatusInternalServerError,
+		Late:    late,
 		Broke:   broke,
 		Shed:    result.Verdict == steer.NotRun && result.Status != 0,
 		Gone:    result.Gone,
--- a/internal/edge/place/fleet_test.go
+++ b/internal/edge/place/fleet_test.go
@@ -103,7 +103,7 @@
 			over, done := c.step(now)
 			for _, w := range over {
 				lost++
-				placers[w.host].Done(now, w.choice, place.Outcome{Failed: true, Latency: now.Sub(w.sent)})
+				placers[w.host].Done(now, w.choice, place.Outcome{Failed: true, Late: true, Latency: now.Sub(w.sent)})
 			}
 			for _, w := range done {
 				took := now.Sub(w.sent) + 2*crowdDelay
--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// reportLife is the age from which a reported load says nothing any more: a few times the work of a request.
-	reportLife = 800 * time.Millisecond
+	// reportWorks is the age from which a reported load says nothing any more, in times the mean work of a request: a queue
+	// of one or two requests for each slot is worked off by then. reportLeast and reportMost bound it.
+	reportWorks = 2.0
+	reportLeast = 800 * time.Millisecond
+	reportMost  = 4 * time.Second
 
 	// failLimit is the number of failures in a row from which a target is left alone.
 	failLimit = 3
@@ -39,6 +42,7 @@
 // node is what this host knows of one target.
 type node struct {
 	target   *belief.Registered
+	service  *service
 	flight   int // Requests of this host in progress.
 	others   float64
 	reported time.Time // When the last report came; zero for never.
@@ -67,8 +71,8 @@
 // for less as the report ages.
 func (n *node) estimate(now time.Time) float64 {
 	load := float64(n.flight)
-	if age := n.age(now); age >= 0 && age < reportLife {
-		load += n.others * (1 - age.Seconds()/reportLife.Seconds())
+	if age := n.age(now); age >= 0 && age < n.service.life {
+		load += n.others * (1 - age.Seconds()/n.service.life.Seconds())
 	}
 	return load
 }
@@ -148,7 +152,7 @@
 // note returns what other hosts should know of the target since the last note, and reports whether there is anything.
 func (n *node) note(now time.Time) (steer.TargetNote, bool) {
 	age := n.age(now)
-	fresh := age >= 0 && age < reportLife
+	fresh := age >= 0 && age < n.service.life
 	busy := fresh && n.total >= noteUse*n.slots()
 	note := steer.TargetNote{
 		Target:   n.target.ID,
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -49,6 +49,7 @@
 	Latency time.Duration
 	Load    *steer.TargetLoad // What the target reported; nil for nothing.
 	Failed  bool              // No answer, or one that says that the target is unwell.
+	Late    bool              // No answer within the time that the request had.
 	Broke   bool              // No connection, or one that ended without an answer: the target may have started anew.
 	Shed    bool              // The target refused.
 	Gone    bool              // Another target has the address.
@@ -127,8 +128,11 @@
 	if o.Void {
 		return
 	}
-	if !o.Failed && !o.Shed {
-		s.learn(c.class, o.Latency, c.use)
+	switch {
+	case o.Late:
+		s.learn(c.class, o.Latency, c.use, false)
+	case !o.Failed && !o.Shed:
+		s.learn(c.class, o.Latency, c.use, true)
 	}
 }
 
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -92,8 +92,9 @@
 	regions  []share            // In force; moves towards the goal.
 	caps     map[string]float64 // Capacity of regions, in slots.
 	moved    time.Time
-	typical  average // Seconds of an answer.
-	work     average // Seconds of an answer without the wait in the target's queue.
+	life     time.Duration // Time for which a reported load counts.
+	typical  average       // Seconds of an answer.
+	work     average       // Seconds of an answer without the wait in the target's queue.
 	classes  map[string]*class
 	active   []*class      // Those that were asked for lately.
 	warmup   time.Duration // Time for which a started target is cold.
@@ -112,6 +113,7 @@
 	return &service{
 		nodes:   map[string]*node{},
 		classes: map[string]*class{},
+		life:    reportLeast,
 	}
 }
 
@@ -126,7 +128,8 @@
 		n := s.nodes[target.ID]
 		if n == nil || !n.target.Same(target) {
 			n = &node{
-				seed: xxhash.Sum64String(target.ID),
+				service: s,
+				seed:    xxhash.Sum64String(target.ID),
 			}
 		}
 		n.target = target
@@ -215,7 +218,7 @@
 			return nil, false, steer.ReasonCapacity
 		}
 	}
-	if s.wait(now, n, ask.Class) > ask.Left.Seconds() {
+	if s.wait(now, n, &ask) > ask.Left.Seconds() {
 		return nil, false, steer.ReasonDeadline
 	}
 	n.spend(now)
@@ -283,12 +286,19 @@
 	}
 }
 
-// learn takes the time of an answer, and the use of the target when the request was sent.
-func (s *service) learn(name string, latency time.Duration, use float64) {
-	s.typical.add(latency.Seconds())
+// learn takes the time of an answer, and the use of the target when the request was sent. The time of a request that was not
+// answered in time is the least that it would have taken.
+func (s *service) learn(name string, latency time.Duration, use float64, answered bool) {
+	c := s.class(name)
 	work := latency.Seconds() / math.Max(1, use)
+	if !answered && work < c.work.value {
+		return
+	}
+	if answered {
+		s.typical.add(latency.Seconds())
+	}
 	s.work.add(work)
-	s.class(name).work.add(work)
+	c.work.add(work)
 }
 
 // class is what is known of requests that take about the same work.
@@ -316,8 +326,10 @@
 	c.priority.add(float64(a.Priority))
 }
 
-// activate renews the list of classes that were asked for lately.
+// activate renews what changes slowly: the classes that were asked for lately, and the time for which reports count.
 func (s *service) activate(now time.Time) {
+	s.life = time.Duration(reportWorks * s.work.value * float64(time.Second))
+	s.life = min(max(s.life, reportLeast), reportMost)
 	s.active = s.active[:0]
 	for _, c := range s.classes {
 		if now.Sub(c.asked) < activeTime {
@@ -334,9 +346,14 @@
 	return s.work.value
 }
 
-// wait is the time in seconds until a target has answered one more request.
-func (s *service) wait(now time.Time, n *node, class string) float64 {
-	return s.workOf(class) + s.work.value*math.Max(0, n.use(now)-1)
+// wait is the time in seconds until a target has answered one more request. The work counts up to the objective: when all
+// answers are late, one that comes late is still better than none.
+func (s *service) wait(now time.Time, n *node, ask *Ask) float64 {
+	work := s.workOf(ask.Class)
+	if ask.Objective > 0 {
+		work = math.Min(work, ask.Objective.Seconds())
+	}
+	return work + s.work.value*math.Max(0, n.use(now)-1)
 }
 
 // returnAfter is the time after which a queue of one request for each slot is worked off.
