Bound the opening of connections by the time their data centre takes

Cause: a connection to a target without power was awaited for 0.5 s, though one within the region takes 8 ms, and its failure was taken for the deadline of the request, which was then refused instead of sent to the next target.

Change: the bound is five times the mean time to that data centre, and its failure is told apart from the deadline.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,8 +23,17 @@
 	// idleMargin is left before the end that the target names, which it gives in whole seconds.
 	idleMargin = 1200 * time.Millisecond
 
-	// dialLimit bounds the opening of a connection: several round trips between regions.
-	dialLimit = 500 * time.Millisecond
+	// dialMost bounds the opening of a connection where nothing is known of a data centre: several round trips between
+	// regions. dialLeast is several times the 8 ms of a round trip within a region.
+	dialMost  = 500 * time.Millisecond
+	dialLeast = 80 * time.Millisecond
+
+	// dialTimes is the bound in times the mean time of opening a connection to the same data centre. A lost packet is sent
+	// again after a second only, so there is no use in waiting for one.
+	dialTimes = 5
+
+	// dialWeight is the weight of one sample in that mean.
+	dialWeight = 0.1
 
 	// unackedLimit ends a connection whose peer acknowledges nothing: a target that lost power, or a connection that went
 	// silent.
@@ -89,8 +99,9 @@
 	dials   metrics.Counter
 	strays  metrics.Counter
 	mu      sync.Mutex
-	idle    map[string][]*wire // By target id, longest idle first.
-	forgets time.Time          // Until when targets count as forgetful.
+	idle    map[string][]*wire       // By target id, longest idle first.
+	forgets time.Time                // Until when targets count as forgetful.
+	opening map[string]time.Duration // Mean time of opening a connection, by data centre.
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -102,7 +113,7 @@
 	}
 	if c.Dial == nil {
 		dialer := &net.Dialer{
-			Timeout: dialLimit,
+			Timeout: dialMost,
 			Control: setUnackedLimit,
 		}
 		c.Dial = dialer.DialContext
@@ -114,6 +125,7 @@
 		dials:   metrics.GetOrRegisterCounter("back-dials", c.Metrics),
 		strays:  metrics.GetOrRegisterCounter("back-stray-answers", c.Metrics),
 		idle:    map[string][]*wire{},
+		opening: map[string]time.Duration{},
 		cancel:  cancel,
 		done:    make(chan struct{}),
 	}
@@ -217,12 +229,51 @@
 		}
 		w.close()
 	}
+	w, err := p.open(ctx, e)
+	return w, false, err
+}
+
+// open opens a connection, within a time that fits the data centre.
+func (p *Pool) open(ctx context.Context, e *steer.Endpoint) (*wire, error) {
 	p.dials.Inc(1)
-	socket, err := p.dial(ctx, "tcp", e.Address.String())
-	if err != nil {
-		return nil, false, err
+	begun := time.Now()
+	limit := p.openLimit(e.DataCentre)
+	dialCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	socket, err := p.dial(dialCtx, "tcp", e.Address.String())
+	late := dialCtx.Err() != nil
+	p.opened(e.DataCentre, time.Since(begun), late)
+	switch {
+	case err != nil && late && ctx.Err() == nil:
+		return nil, fmt.Errorf("no connection within %v: %s", limit, err) // Unlike the deadline of the request, so not wrapped.
+	case err != nil:
+		return nil, err
+	}
+	return newWire(socket, e.Address), nil
+}
+
+func (p *Pool) openLimit(dataCentre string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.opening[dataCentre]
+	if !ok {
+		return dialMost
+	}
+	return min(max(dialTimes*mean, dialLeast), dialMost)
+}
+
+// opened takes the time of opening a connection. One that took too long counts as the least that it would have taken.
+func (p *Pool) opened(dataCentre string, took time.Duration, late bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.opening[dataCentre]
+	switch {
+	case !ok && late:
+	case !ok:
+		p.opening[dataCentre] = took
+	default:
+		p.opening[dataCentre] = mean + time.Duration(dialWeight*float64(took-mean))
 	}
-	return newWire(socket, e.Address), false, nil
 }
 
 // forgotten notes that an idle connection broke.
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -283,6 +284,54 @@
 	assert.Equal(t, third.Reused, true, "a connection that was in use just now serves")
 }
 
+// Guards against requests that wait for a target without power for longer than a connection to its data centre ever takes, and
+// against targets that are never reached again after their data centre has become slower.
+func TestWaitsForAConnectionAsLongAsItsDataCentreTakes(t *testing.T) {
+	s := newScript(t, func(int, int) string { return ok("b") })
+	delay := 10 * time.Millisecond
+	dark := false
+	p := back.New(back.Config{
+		Headers: names,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(delay):
+			}
+			if dark {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+	})
+	defer p.Stop()
+	do := func() (back.Result, time.Duration) {
+		c := call(s, "1")
+		c.Fresh = true
+		c.Deadline = time.Now().Add(2 * time.Second)
+		begun := time.Now()
+		r := p.Do(context.Background(), c)
+		return r, time.Since(begun)
+	}
+	for range 3 {
+		r, _ := do()
+		assert.NilError(t, r.Err)
+	}
+	dark = true
+	r, took := do()
+	assert.Equal(t, r.Verdict, steer.NotRun)
+	assert.Assert(t, took < 300*time.Millisecond, "waited %v", took)
+	assert.Assert(t, !errors.Is(r.Err, context.DeadlineExceeded), "the request has time left for another target")
+	dark, delay = false, 200*time.Millisecond
+	for try := 0; ; try++ {
+		if r, _ := do(); r.Err == nil {
+			break
+		}
+		assert.Assert(t, try < 20)
+	}
+}
+
 // Guards against a request that cannot have been sent and is taken for one that may have run.
 func TestNoConnectionMeansNotRun(t *testing.T) {
 	s := newScript(t, func(int, int) string { return "" })
