--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -81,6 +83,7 @@
 	Gone    bool              // Another target has the address.
 	Leaving bool              // The target closes its connections.
 	Reused  bool              // The connection had served other requests.
+	Forgot  bool              // The target had closed the connection while it was idle, or closed it instead of an answer.
 	Sent    bool              // At least a byte may have reached the target.
 	Err     error             // Why there is no answer.
 }
@@ -199,7 +202,8 @@
 	result.Reused = reused
 	if !stop() || !w.clean {
 		w.close()
-		if reused && result.Status == 0 && ctx.Err() == nil {
+		if reused && ctx.Err() == nil && closed(result.Err) {
+			result.Forgot = true
 			p.forgotten(time.Now())
 		}
 		if cause := context.Cause(ctx); result.Err != nil && cause != nil {
@@ -276,6 +280,12 @@
 	}
 }
 
+// closed reports whether the other side closed a connection, which a silent one did not.
+func closed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
+}
+
 // forgotten notes that an idle connection broke.
 func (p *Pool) forgotten(now time.Time) {
 	p.mu.Lock()
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -284,6 +284,32 @@
 	assert.Equal(t, third.Reused, true, "a connection that was in use just now serves")
 }
 
+// Guards against a silent target that is taken for one that has forgotten a connection, and is sent the request again.
+func TestSilenceIsNotForgetting(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		want   bool
+	}{
+		{answer: "|RESET", want: true},
+		{answer: "|CLOSE", want: true},
+		{answer: "garbage without an end", want: false},
+	} {
+		s := newScript(t, func(_, request int) string {
+			if request == 1 {
+				return ok("a")
+			}
+			return c.answer
+		})
+		p := pool(t)
+		assert.NilError(t, p.Do(context.Background(), call(s, "1")).Err)
+		second := call(s, "2")
+		second.Deadline = time.Now().Add(200 * time.Millisecond)
+		r := p.Do(context.Background(), second)
+		assert.Assert(t, r.Reused && r.Err != nil)
+		assert.Equal(t, r.Forgot, c.want, c.answer)
+	}
+}
+
 // Guards against requests that wait for a target without power for longer than a connection to its data centre ever takes, and
 // against targets that are never reached again after their data centre has become slower.
 func TestWaitsForAConnectionAsLongAsItsDataCentreTakes(t *testing.T) {
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -103,7 +103,7 @@
 	late := result.Status == 0 && errors.Is(result.Err, context.DeadlineExceeded)
 	broke := result.Status == 0 && !late
 	// A target that forgot an idle connection is not unwell: the request goes to it again, over a new connection.
-	j.forgotten = broke && result.Reused
+	j.forgotten = result.Forgot
 	outcome := place.Outcome{
 		Latency: took,
 		Load:    result.Load,
