Return gently to targets that other hosts saw break

Cause: a host that learned of a broken target from others returned to it with its full load, though it may have started anew. Guarded by place.TestTargetThatOthersSawBreakReturnsGently.

Failed try, reverted: leaving targets alone that fail 0.3 of their requests, up to a quarter of a region.

--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -55,6 +55,7 @@
 	total    float64   // Requests at the target as this host last saw reported, its own included.
 	answered int       // Requests of this host since the last note.
 	failed   int
+	broke    bool      // One of them had no connection, or one that ended.
 	told     bool      // The last note said that the target is busy.
 	tokens   float64   // Of a cold target.
 	filled   time.Time // When tokens was reckoned; zero while the target is warm.
@@ -131,6 +132,7 @@
 	}
 	if o.Failed {
 		n.failed++
+		n.broke = n.broke || o.Broke
 	} else {
 		n.answered++
 	}
@@ -158,6 +160,7 @@
 		Target:   n.target.ID,
 		Answered: n.answered,
 		Failed:   n.failed,
+		Broke:    n.broke,
 	}
 	if fresh {
 		note.Age = age
@@ -171,7 +174,7 @@
 	if tell {
 		n.told = busy
 	}
-	n.answered, n.failed = 0, 0
+	n.answered, n.failed, n.broke = 0, 0, false
 	return note, tell
 }
 
@@ -185,7 +188,9 @@
 		return
 	}
 	for range min(note.Failed, failLimit) {
-		n.judge(now, now, true)
+		if n.judge(now, now, true) && note.Broke {
+			n.gentle = n.ejected.Add(n.service.warmup)
+		}
 	}
 }
 
--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -424,6 +424,27 @@
 	}
 }
 
+// Guards against a target that crashed and started anew, of which a host knows only from others, and that gets its full load.
+func TestTargetThatOthersSawBreakReturnsGently(t *testing.T) {
+	const hosts = 8
+	p, other := placer(t, hosts, target(1, "golfo-a")), placer(t, hosts, target(1, "golfo-a"))
+	for range 3 {
+		c, _ := other.Pick(start, ask("1"))
+		other.Done(start, c, place.Outcome{Failed: true, Broke: true})
+	}
+	p.Learn(start, other.Notes(start))
+	_, refusal := p.Pick(start, ask("1"))
+	assert.Equal(t, refusal.Reason, steer.ReasonNoTarget)
+	sent := 0
+	for now := start; now.Before(start.Add(1500 * time.Millisecond)); now = now.Add(5 * time.Millisecond) {
+		if c, refusal := p.Pick(now, ask("1")); refusal == nil {
+			sent++
+			p.Done(now, c, place.Outcome{Latency: time.Millisecond})
+		}
+	}
+	assert.Assert(t, sent > 0 && float64(sent) <= (1.5*warmupRate+5)/hosts, "%d requests", sent)
+}
+
 // Guards against connections that a target resets because all hosts together have opened too many.
 func TestHostsShareTheConnectionsOfATarget(t *testing.T) {
 	const hosts, most = 8, 60
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -43,6 +43,7 @@
 	Slots    int // 0 without a report.
 	Answered int
 	Failed   int
+	Broke    bool
 	Age      int64 // Milliseconds.
 }
 
@@ -113,6 +114,7 @@
 			Slots:    n.Load.Slots,
 			Answered: n.Answered,
 			Failed:   n.Failed,
+			Broke:    n.Broke,
 			Age:      n.Age.Milliseconds(),
 		})
 	}
@@ -131,6 +133,7 @@
 			},
 			Answered: n.Answered,
 			Failed:   n.Failed,
+			Broke:    n.Broke,
 			Age:      time.Duration(n.Age) * time.Millisecond,
 		})
 	}
--- a/platform.go
+++ b/platform.go
@@ -102,6 +102,7 @@
 	Load     TargetLoad    // As last reported; Slots is 0 without a report.
 	Answered int           // Requests that it answered.
 	Failed   int           // Requests that it failed or did not answer.
+	Broke    bool          // Among these was one without a connection or with one that ended: it may have started anew.
 	Age      time.Duration // Of the report.
 }
 
