--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -24,7 +24,7 @@
 
 	// fullReturnLeast and fullReturnMost bound when to return if all targets are full.
 	fullReturnLeast = 150 * time.Millisecond
-	fullReturnMost  = 600 * time.Millisecond
+	fullReturnMost  = 2 * time.Second
 
 	// connectionPart is the part of a target's connections that all hosts together use for requests in progress. The rest is
 	// for idle ones and for those that are being closed.
@@ -358,6 +358,6 @@
 
 // returnAfter is the time after which a queue of one request for each slot is worked off.
 func (s *service) returnAfter() time.Duration {
-	d := time.Duration(s.typical.value * float64(time.Second))
+	d := time.Duration(2 * s.typical.value * float64(time.Second))
 	return min(max(d, fullReturnLeast), fullReturnMost)
 }
