--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -248,6 +248,27 @@
 	}
 }
 
+// Guards against a region with few targets that are busier than those of other regions.
+func TestPoorRegionKeepsWhatItsTargetsCarry(t *testing.T) {
+	targets := []*belief.Registered{target(1, "golfo-a")}
+	for i := range 5 {
+		targets = append(targets, target(10+i, "pacifico-a"), target(20+i, "altiplano-a"))
+	}
+	p := placer(t, 1, targets...)
+	const objects = 4000
+	kept := 0
+	for i := range objects {
+		c, refusal := p.Pick(start, ask(fmt.Sprint(i)))
+		assert.Assert(t, refusal == nil)
+		if c.Target.Regional == "golfo" {
+			kept++
+		}
+		p.Done(start, c, place.Outcome{Latency: time.Millisecond})
+	}
+	part := float64(kept) / objects
+	assert.Assert(t, part > 0.24 && part < 0.30, "%.3f of the requests of the region, 3 of 11 fit", part)
+}
+
 // Guards against a region that loses more of its requests at once than may move within two seconds.
 func TestRegionMovesSlowly(t *testing.T) {
 	p := placer(t, 1, target(1, "golfo-a"), target(2, "pacifico-a"), target(3, "altiplano-a"))
--- a/internal/edge/place/share.go
+++ b/internal/edge/place/share.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// headroom is how far over the mean use of all targets those of one region or data centre may go before its demand is
-	// sent elsewhere.
-	headroom = 1.25
-
 	// moveRate is the largest part of the requests of a region that changes its region within one second because capacity
 	// changed. A fleet is held to 15 % within two seconds; this and spillStep together use 9 %, and the rest is left for
 	// requests that arrive in clumps.
@@ -25,7 +21,7 @@
 }
 
 // spread divides the demand of one place among all places by their capacity. Every place has the same demand. The own place
-// keeps what it can carry with headroom; the rest goes to the others in proportion to the room that they have left.
+// keeps what it can carry at the mean use of all; the rest goes to the others in proportion to the room that they have left.
 // The own place comes first.
 func spread(own string, capacity map[string]float64) []share {
 	total := 0.0
@@ -39,12 +35,12 @@
 	room := map[string]float64{}
 	rest := 0.0
 	for name, c := range capacity {
-		kept := math.Min(demand, c/total*headroom)
+		kept := math.Min(demand, c/total)
 		if name == own {
 			rest = demand - kept
 			continue
 		}
-		if left := c/total*headroom - kept; left > 0 {
+		if left := c/total - kept; left > 0 {
 			room[name] = left
 		}
 	}
