Leave room in a region for requests that may run there only

Change: the part of the requests that is bound to a region is taken off the capacity that is divided among the others. Kept for place.TestRoomIsLeftForRequestsOfOneRegion.

--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -200,3 +200,15 @@
 	return (len(a.Regions) == 0 || slices.Contains(a.Regions, region)) &&
 		(len(a.Also) == 0 || slices.Contains(a.Also, region))
 }
+
+// only returns the region if the request may run in one only.
+func (a *Ask) only() string {
+	switch {
+	case len(a.Regions) == 1:
+		return a.Regions[0]
+	case len(a.Also) == 1:
+		return a.Also[0]
+	default:
+		return ""
+	}
+}
--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -269,6 +269,43 @@
 	assert.Assert(t, part > 0.24 && part < 0.30, "%.3f of the requests of the region, 3 of 11 fit", part)
 }
 
+// Guards against a customer that may run in a poor region only and finds its targets taken by requests that could run elsewhere.
+func TestRoomIsLeftForRequestsOfOneRegion(t *testing.T) {
+	targets := []*belief.Registered{target(1, "golfo-a"), target(2, "golfo-b")}
+	for i := range 10 {
+		targets = append(targets, target(10+i, "pacifico-a"), target(30+i, "altiplano-a"))
+	}
+	p := placer(t, 1, targets...)
+	kept := func(now time.Time) float64 {
+		free, golfo := 0, 0
+		for i := range 1000 {
+			a := ask(fmt.Sprint(i))
+			bound := i%10 < 3
+			if bound {
+				a.Also = []string{"golfo"}
+			}
+			c, refusal := p.Pick(now, a)
+			assert.Assert(t, refusal == nil)
+			if !bound {
+				free++
+				if c.Target.Regional == "golfo" {
+					golfo++
+				}
+			}
+			p.Done(now, c, place.Outcome{Latency: time.Millisecond})
+		}
+		return float64(golfo) / float64(free)
+	}
+	before := kept(start)
+	assert.Assert(t, before > 0.2, "%.3f", before)
+	for s := 1; s <= 60; s++ {
+		now := kept(start.Add(time.Duration(s) * time.Second))
+		assert.Assert(t, before-now <= 0.075, "from %.3f to %.3f in a second", before, now)
+		before = now
+	}
+	assert.Assert(t, before < 0.01, "%.3f of the free requests still go to the region", before)
+}
+
 // Guards against a region that loses more of its requests at once than may move within two seconds.
 func TestRegionMovesSlowly(t *testing.T) {
 	p := placer(t, 1, target(1, "golfo-a"), target(2, "pacifico-a"), target(3, "altiplano-a"))
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -45,6 +45,10 @@
 	// urgentBy is how much lower the mean priority of a class must be for its requests to count as more urgent.
 	urgentBy = 0.5
 
+	// boundWeight is the weight of one second in the mean part of requests that may run in one region only: demand of
+	// customers changes within seconds, and shares of regions move slower than that anyway.
+	boundWeight = 0.2
+
 	// maxClasses bounds the kinds of requests whose work is known: some times the routes of a plan.
 	maxClasses = 4096
 )
@@ -91,6 +95,8 @@
 	goal     []share            // Of regions.
 	regions  []share            // In force; moves towards the goal.
 	caps     map[string]float64 // Capacity of regions, in slots.
+	own      string             // Region of this host.
+	bound    map[string]float64 // Part of the requests that may run in one region only, by region.
 	moved    time.Time
 	life     time.Duration // Time for which a reported load counts.
 	typical  average       // Seconds of an answer.
@@ -102,18 +108,23 @@
 
 	connections int // Requests in progress that a target may have from this host; each takes a connection.
 
-	spill     float64 // Part of the requests that may leave their region because it is full.
-	asked     int     // Requests since the spill was last set.
-	wanted    int     // Requests among them that found their region full.
-	spilled   int     // Requests among those that left it.
-	spillTime time.Time
+	spill   float64 // Part of the requests that may leave their region because it is full.
+	asked   int     // Requests since the spill was last set.
+	wanted  int     // Requests among them that found their region full.
+	spilled int     // Requests among those that left it.
+
+	askedBound map[string]int // Requests among them that may run in one region only, by region.
+	spillTime  time.Time
 }
 
 func newService() *service {
 	return &service{
 		nodes:   map[string]*node{},
 		classes: map[string]*class{},
-		life:    reportLeast,
+		bound:   map[string]float64{},
+
+		askedBound: map[string]int{},
+		life:       reportLeast,
 	}
 }
 
@@ -158,13 +169,40 @@
 			s.caps[region] += n.slots()
 		}
 	}
-	s.goal = spread(c.Region, s.caps)
+	s.own = c.Region
+	s.aim()
 	if s.regions == nil {
 		s.regions = s.goal
 	}
 	s.advance(now)
 }
 
+// aim reckons the goal of the shares of regions. Requests that may run in one region only come first there: they take their
+// part of its capacity, and what may run elsewhere leaves it to them.
+func (s *service) aim() {
+	total := 0.0
+	for _, c := range s.caps {
+		total += c
+	}
+	left := make(map[string]float64, len(s.caps))
+	for region, c := range s.caps {
+		left[region] = math.Max(0, c-s.bound[region]*total)
+	}
+	if s.goal = spread(s.own, left); s.goal == nil {
+		s.goal = spread(s.own, s.caps)
+	}
+}
+
+// bind renews the parts of the requests that may run in one region only.
+func (s *service) bind() {
+	for region := range s.caps {
+		part := float64(s.askedBound[region]) / float64(max(s.asked, 1))
+		s.bound[region] += boundWeight * (part - s.bound[region])
+	}
+	clear(s.askedBound)
+	s.aim()
+}
+
 // advance moves the shares of regions towards their goal.
 func (s *service) advance(now time.Time) {
 	s.regions = approach(s.regions, s.goal, stepOf(now.Sub(s.moved)), s.caps)
@@ -184,6 +222,7 @@
 		}
 		step := spillStep * math.Min(elapsed.Seconds(), 1)
 		s.spill = math.Min(spillMost, s.spill+math.Min(step, math.Max(-step, part-s.spill)))
+		s.bind()
 		s.asked, s.wanted, s.spilled, s.spillTime = 0, 0, 0, now
 	}
 }
@@ -198,6 +237,9 @@
 func (s *service) choose(now time.Time, ask Ask, position float64, hash uint64, c Config) (*node, bool, steer.Reason) {
 	s.asked++
 	s.class(ask.Class).ask(now, &ask)
+	if only := ask.only(); only != "" {
+		s.askedBound[only]++
+	}
 	region := pick(s.regions, position)
 	if !ask.allowed(region) || s.caps[region] == 0 {
 		region = s.nearest(ask, c)
