--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -59,6 +59,7 @@
 	covered    time.Time // Until when a host that watches for this one stands in.
 	substitute time.Time // Until when any host does; of use after an own failed call.
 	failed     time.Time // When an own call last failed.
+	watching   bool      // The last view came from an own watch. Used by the loop only.
 }
 
 // New starts a follower.
@@ -176,8 +177,10 @@
 			err = f.list(ctx)
 			listed = err == nil
 		case !until.IsZero():
+			f.watches(false)
 			f.stand(ctx, until.Sub(now))
 		default:
+			f.watches(true)
 			changed, err = f.follow(ctx)
 		}
 		if err == nil {
@@ -311,6 +314,15 @@
 	return f.table.index.Plan.Version
 }
 
+// watches notes whether this host watches or another one stands in.
+func (f *Follower) watches(own bool) {
+	if own == f.watching {
+		return
+	}
+	f.watching = own
+	_ = level.Info(f.logger).Log("msg", "Watch of the platform changed hands.", "own", own)
+}
+
 // stand waits while another host stands in.
 func (f *Follower) stand(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -77,7 +77,7 @@
 	member   *join.Member
 	placer   *place.Placer
 	quotas   *share.Table
-	teller   *gossip.Teller
+	teller   atomic.Pointer[gossip.Teller] // Nil until the follower exists, which may have changes to relay.
 	targets  *back.Pool
 	server   *front.Server
 	small    []*http.Server
@@ -150,6 +150,7 @@
 		DataCentre: s.DataCentre,
 		Region:     s.Region,
 		Regions:    s.Regions,
+		Alone:      n.alone,
 	})
 	n.quotas = share.New(share.Config{
 		Host:    s.HostID,
@@ -160,7 +161,13 @@
 		Headers: c.Headers,
 		Metrics: c.Metrics,
 	})
-	n.teller = gossip.New(gossip.Config{
+	n.follower = belief.New(belief.Config{
+		Catalog: c.Catalog,
+		Regions: s.Regions,
+		Relay:   n.relay,
+		Logger:  c.Logger,
+	})
+	n.teller.Store(gossip.New(gossip.Config{
 		Host:       s.HostID,
 		DataCentre: s.DataCentre,
 		Region:     s.Region,
@@ -172,13 +179,7 @@
 		Heard:      n.heard,
 		Changes:    n.changes,
 		Logger:     c.Logger,
-	})
-	n.follower = belief.New(belief.Config{
-		Catalog: c.Catalog,
-		Regions: s.Regions,
-		Relay:   func(changes steer.Changes) { n.teller.Relay(changes) },
-		Logger:  c.Logger,
-	})
+	}))
 	n.member = join.New(join.Config{
 		Catalog: c.Catalog,
 		Host: steer.HostEntry{
@@ -217,7 +218,7 @@
 		Metrics:  c.Metrics,
 	})
 	peers := http.NewServeMux()
-	peers.Handle(gossip.Path, n.teller.Handler())
+	peers.Handle(gossip.Path, n.teller.Load().Handler())
 	n.serve(p.peers, peers)
 	n.serve(p.ready, c.Surface.Readiness(n.Ready))
 	n.serve(p.directory, c.Surface.Directory(n.lookup))
@@ -261,6 +262,19 @@
 	n.follower.Hear(now, hint)
 }
 
+// relay tells the other hosts of the data centre what this one watched.
+func (n *Node) relay(c steer.Changes) {
+	if teller := n.teller.Load(); teller != nil {
+		teller.Relay(c)
+	}
+}
+
+// alone logs that a target is left alone.
+func (n *Node) alone(a place.Alone) {
+	_ = level.Info(n.logger).Log("msg", "Target is left alone.", "target", a.Target, "for", a.For, "fails", a.Fails,
+		"told", a.Told, "gentle", a.Gentle)
+}
+
 // changes takes what another host of the data centre watched. The first one by id watches for the others.
 func (n *Node) changes(now time.Time, from string, c steer.Changes) {
 	n.follower.Cover(now, from < n.settings.HostID, c)
@@ -319,7 +333,7 @@
 		if view.Index != nil {
 			n.quotas.SetQuotas(now, view.Index.Plan.Customers)
 		}
-		n.teller.SetHosts(now, view.Hosts)
+		n.teller.Load().SetHosts(now, view.Hosts)
 		sharers := n.quotas.Hosts()
 		if now.Sub(started) < startTime {
 			sharers = max(sharers, startSharers)
@@ -438,9 +452,10 @@
 	n.refusing.Store(true)
 	err := n.server.Close(ctx)
 	n.cancel()
-	n.teller.Leave()
+	teller := n.teller.Load()
+	teller.Leave()
 	time.Sleep(leaveTime)
-	n.teller.Stop()
+	teller.Stop()
 	n.follower.Stop()
 	n.targets.Stop()
 	for _, s := range n.small {
--- a/internal/edge/place/node.go
+++ b/internal/edge/place/node.go
@@ -118,7 +118,7 @@
 	}
 }
 
-func (n *node) finish(now, started time.Time, o Outcome, warmup time.Duration) {
+func (n *node) finish(now, started time.Time, o Outcome) {
 	n.flight--
 	if o.Load != nil {
 		n.report(now, *o.Load)
@@ -136,11 +136,25 @@
 	} else {
 		n.answered++
 	}
-	if n.judge(now, started, o.Failed) && o.Broke {
-		n.gentle = n.ejected.Add(warmup)
+	if n.judge(now, started, o.Failed) {
+		n.leave(now, o.Broke, false)
 	}
 }
 
+// leave notes that the target is left alone from now on.
+func (n *node) leave(now time.Time, broke, told bool) {
+	if broke {
+		n.gentle = n.ejected.Add(n.service.warmup)
+	}
+	n.service.alone(Alone{
+		Target: n.target.ID,
+		For:    n.ejected.Sub(now),
+		Fails:  n.fails + 1,
+		Told:   told,
+		Gentle: broke,
+	})
+}
+
 // report takes a reported load.
 func (n *node) report(at time.Time, load steer.TargetLoad) {
 	n.total = float64(load.Running + load.Waiting)
@@ -188,8 +202,8 @@
 		return
 	}
 	for range min(note.Failed, failLimit) {
-		if n.judge(now, now, true) && note.Broke {
-			n.gentle = n.ejected.Add(n.service.warmup)
+		if n.judge(now, now, true) {
+			n.leave(now, note.Broke, true)
 		}
 	}
 }
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -16,6 +16,16 @@
 	DataCentre string
 	Region     string
 	Regions    map[string]string // Region by data centre.
+	Alone      func(Alone)       // Called when a target is left alone. It must not block. Nil means none.
+}
+
+// Alone says that a target is left alone.
+type Alone struct {
+	Target string
+	For    time.Duration
+	Fails  int  // Failures in a row.
+	Told   bool // Other hosts saw the last ones.
+	Gentle bool // It may have started anew, and gets few requests afterwards.
 }
 
 // Ask describes a request that needs a target.
@@ -65,6 +75,9 @@
 
 // New returns a placer that knows no target yet.
 func New(c Config) *Placer {
+	if c.Alone == nil {
+		c.Alone = func(Alone) {}
+	}
 	return &Placer{
 		config:   c,
 		services: map[string]*service{},
@@ -84,7 +97,7 @@
 	for name, list := range view.Targets {
 		s := p.services[name]
 		if s == nil {
-			s = newService()
+			s = newService(p.config.Alone)
 			p.services[name] = s
 		}
 		s.adopt(now, list, view, p.config, hosts)
@@ -124,7 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[c.Target.Service] // Services are never dropped.
-	c.node.finish(now, c.started, o, s.warmup)
+	c.node.finish(now, c.started, o)
 	if o.Void {
 		return
 	}
--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// Guards against targets that are left alone without a word, so that nobody can tell why their objects moved.
+func TestTellsWhichTargetsAreLeftAlone(t *testing.T) {
+	var alone []place.Alone
+	p := place.New(place.Config{
+		DataCentre: "golfo-a",
+		Region:     "golfo",
+		Regions:    regions,
+		Alone:      func(a place.Alone) { alone = append(alone, a) },
+	})
+	p.Update(start, viewOf(t, target(1, "golfo-a"), target(2, "golfo-a")), 1)
+	for range 3 {
+		c, refusal := p.Pick(start, ask("1"))
+		assert.Assert(t, refusal == nil)
+		p.Done(start, c, place.Outcome{Failed: true, Broke: true})
+	}
+	assert.Equal(t, len(alone), 1)
+	assert.Equal(t, alone[0].Fails, 3)
+	assert.Assert(t, alone[0].For > 0 && alone[0].Gentle && !alone[0].Told)
+	p.Learn(start, []steer.TargetNote{{
+		Target: map[string]string{"golfo-a-1": "golfo-a-2", "golfo-a-2": "golfo-a-1"}[alone[0].Target],
+		Failed: 3,
+	}})
+	assert.Equal(t, len(alone), 2)
+	assert.Assert(t, alone[1].Told && !alone[1].Gentle)
+}
+
 // Guards against a region with few targets that are busier than those of other regions.
 func TestPoorRegionKeepsWhatItsTargetsCarry(t *testing.T) {
 	targets := []*belief.Registered{target(1, "golfo-a")}
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -90,6 +90,7 @@
 
 // service is what this host knows of the targets of one service.
 type service struct {
+	alone    func(Alone)
 	nodes    map[string]*node   // By target id.
 	regional map[string][]*node // By region.
 	goal     []share            // Of regions.
@@ -117,8 +118,9 @@
 	spillTime  time.Time
 }
 
-func newService() *service {
+func newService(alone func(Alone)) *service {
 	return &service{
+		alone:   alone,
 		nodes:   map[string]*node{},
 		classes: map[string]*class{},
 		bound:   map[string]float64{},
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -80,6 +80,7 @@
 
 	mu      sync.Mutex
 	left    bool // The last message was that this host leaves.
+	speaker bool // This host spoke for its data centre in the last round.
 	round   int
 	hosts   map[string]*host     // Others, by id.
 	centres map[string]*heardSum // What other data centres told this host since the last round.
@@ -94,6 +95,7 @@
 	entry  steer.HostEntry
 	lapsed time.Time // When its registration was missed; zero while it is registered.
 	heard  time.Time
+	silent bool  // As last logged.
 	link   *link // Nil while none is wanted.
 }
 
@@ -312,6 +314,7 @@
 	}
 	t.round++
 	t.connect(now)
+	t.report(now)
 	m := &message{
 		Host:       t.config.Host,
 		DataCentre: t.config.DataCentre,
@@ -342,6 +345,21 @@
 	t.offer(m, t.mates())
 }
 
+// report logs who is heard and who speaks, as far as that has changed.
+func (t *Teller) report(now time.Time) {
+	for _, h := range t.mates() {
+		if silent := now.Sub(h.heard) >= aliveTime; silent != h.silent {
+			h.silent = silent
+			_ = level.Info(t.logger).Log("msg", "Host of the data centre is heard or silent.", "host", h.entry.ID,
+				"silent", silent, "registered", h.lapsed.IsZero())
+		}
+	}
+	if speaks := t.speaks(now); speaks != t.speaker {
+		t.speaker = speaks
+		_ = level.Info(t.logger).Log("msg", "Speaker of the data centre changed.", "own", speaks)
+	}
+}
+
 // tellCentres tells one host of each other data centre the sum of this one, and those of the region what was seen of targets.
 func (t *Teller) tellCentres(now time.Time, m message) {
 	var mates []string
