--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -264,9 +264,14 @@
 
 func (f *Follower) reach(now time.Time) {
 	lostAt := f.table.lostAt
-	if f.table.reached(now) {
-		_ = level.Info(f.logger).Log("msg", "Platform reached.", "away", now.Sub(lostAt), "back-since", now.Sub(f.table.regained))
+	if !f.table.reached(now) {
+		return
+	}
+	if lostAt.IsZero() {
+		_ = level.Info(f.logger).Log("msg", "Platform reached for the first time.")
+		return
 	}
+	_ = level.Info(f.logger).Log("msg", "Platform reached.", "away", now.Sub(lostAt), "back-since", now.Sub(f.table.regained))
 }
 
 func (f *Follower) fail(err error) {
@@ -295,7 +300,7 @@
 			"warmup-left", e.WarmupLeft, "address", e.Address, "revision", fact.Revision)
 	case fact.Host != nil:
 		_ = level.Info(f.logger).Log("msg", "Host changed.", "host", fact.Host.ID, "incarnation", fact.Host.Incarnation,
-			"stopping", fact.Host.Stopping, "revision", fact.Revision)
+			"revision", fact.Revision)
 	case fact.Emptied != "":
 		_ = level.Info(f.logger).Log("msg", "Data centre is emptied.", "data-centre", fact.Emptied, "revision", fact.Revision)
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -396,7 +396,7 @@
 	} {
 		var addresses []netip.AddrPort
 		for i := range hosts {
-			if near(&hosts[i]) && !hosts[i].Stopping && len(addresses) < maxAddresses {
+			if near(&hosts[i]) && len(addresses) < maxAddresses {
 				addresses = append(addresses, hosts[i].Address)
 			}
 		}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -16,7 +16,7 @@
 )
 
 // Path is the path of the peer listener at which Handler is mounted.
-const Path = "/v1/demand"
+const Path = "/v1/peers"
 
 const (
 	// tellEvery is the time between two rounds of messages. Quotas must hold over windows of seconds.
--- a/platform.go
+++ b/platform.go
@@ -53,7 +53,6 @@
 // PlanService holds what targets of a service have in common.
 type PlanService struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int           // Of one target, from all hosts together.
 	Warmup         time.Duration // Time for which a started target is cold.
 	WarmupRate     float64       // Requests per second that a cold target tolerates, from all hosts together.
@@ -114,7 +113,6 @@
 	Incarnation uint64         `json:"incarnation"` // Unix time of the start in nanoseconds.
 	Address     netip.AddrPort `json:"address"`     // Listener for callers.
 	PeerAddress netip.AddrPort `json:"peer-address"`
-	Stopping    bool           `json:"stopping"`
 }
 
 // Fact is one entry of the platform. At most one of the pointers is set, and none for an entry that was removed, that
@@ -167,7 +165,6 @@
 	Signature   string // Set by targets on their own answers.
 	NotRun      string // Set by a target that refused the request.
 	Load        string // Running and waiting requests and slots of a target, separated by commas.
-	WarmupLeft  string // Milliseconds for which a target stays cold.
 	TargetID    string // ID of the target that answers.
 	RetryAfter  string // Seconds, with fractions, after which a refused caller may return.
 	Misdirected int    // Status of a target that is not the expected one and has not run the request.
