--- a/internal/serve/daemon/capacity_test.go
+++ b/internal/serve/daemon/capacity_test.go
@@ -209,9 +209,12 @@
 	return list[n/len(dataCentres)%len(list)]
 }
 
-// anyHost returns all hosts in turn.
+// anyHost returns all hosts in turn, nil when none runs.
 func (w *world) anyHost(n int) *daemon.Host {
 	list := w.running()
+	if len(list) == 0 {
+		return nil
+	}
 	return list[n%len(list)]
 }
 
@@ -234,6 +237,11 @@
 					method = http.MethodGet
 				}
 				h := entry(n)
+				if h == nil {
+					// All hosts are closed after the test failed; its first failure is the one to report.
+					assert.Check(w, ctx.Err() != nil, "no host runs")
+					return
+				}
 				path := fmt.Sprintf("/%s/%s/%s/%d", h.Self().Region, service, customer, n)
 				r := w.sendTo(service, h.Address().String(), method, path, customer, "")
 				mu.Lock()
