Deliver answers that are ready at the deadline

Cause: the deadline of the request was the limit for writing its answer too, so an answer that came at the deadline was not written and the caller got a closed connection, also for a booking that had run.

--- a/internal/serve/relay/answer.go
+++ b/internal/serve/relay/answer.go
@@ -40,12 +40,17 @@
 	rp.closers = nil
 }
 
+// lateWrite is the least time for writing an answer: several round trips between regions, for one that is ready at the deadline.
+const lateWrite = time.Second
+
 // answer streams a reply to the caller. It fails with errAbort when the caller has got a part that cannot be completed.
 func (h *Handler) answer(x *exchange, rp *reply) error {
 	defer rp.finish()
-	// A caller that does not read holds a unit of capacity no longer than the request lasts. The server sets the deadline
-	// anew for the next request. Not every ResponseWriter has deadlines.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(x.deadline.Sub(h.conf.Now())))
+	// A caller that does not read holds a unit of capacity hardly longer than the request lasts. An answer that is ready late
+	// is delivered all the same. The server sets the deadline anew for the next request. Not every ResponseWriter has
+	// deadlines.
+	limit := max(x.deadline.Sub(h.conf.Now()), lateWrite)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(limit))
 	h.writeHead(x, rp)
 	gone := rp.write(x, rp.start)
 	if !rp.whole {
--- a/internal/serve/relay/fault_test.go
+++ b/internal/serve/relay/fault_test.go
@@ -731,3 +731,20 @@
 		}, r)
 	}
 }
+
+// Guards against a booking that ran and whose caller gets a closed connection, because the answer came when the time of the
+// request had just passed.
+func TestAnswerThatIsReadyLateIsDelivered(t *testing.T) {
+	var h *host
+	at := serveTarget(t, "t1", "a1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.skew.Store(int64(time.Minute))
+		w.Header().Set("Steering-Request-Id", r.Header.Get("Steering-Request-Id"))
+		_, _ = io.WriteString(w, "booked")
+	}))
+	f := newFleet(t, at)
+	h = f.addHost("h1", "a1", "a", nil)
+	a := call(t, newClient(t), http.MethodPost, h.url+"/s/reservas/book", strings.NewReader(""))
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, string(a.body), "booked")
+}
