Take the shares of all targets before requests come

Shares of regions moved by 2.5 % a second from those of the first targets that a started host had seen, so at the start of traffic hosts of one region kept between 0.28 and 0.75 of their requests where 0.30 fit, and changed that while requests came (log of the shares, trial).

Change: a host that had no request for 2 s takes the shares that fit at once. place.TestStartedHostTakesSharesOfAllTargets: 0.76 kept before, 0.27 fit.

--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -332,6 +332,29 @@
 	assert.Assert(t, before < 0.01, "%.3f of the free requests still go to the region", before)
 }
 
+// Guards against shares of regions that are those of the first targets that a started host saw, for half a minute.
+func TestStartedHostTakesSharesOfAllTargets(t *testing.T) {
+	p := placer(t, 1, target(1, "golfo-a"))
+	var all []*belief.Registered
+	for i := range 5 {
+		all = append(all, target(10+i, "pacifico-a"), target(20+i, "altiplano-a"))
+	}
+	p.Update(start.Add(3*time.Second), viewOf(t, append(all, target(1, "golfo-a"))...), 1)
+	const objects = 2000
+	home := 0
+	now := start.Add(10 * time.Second)
+	for i := range objects {
+		c, refusal := p.Pick(now, ask(fmt.Sprint(i)))
+		assert.Assert(t, refusal == nil)
+		if c.Target.Regional == "golfo" {
+			home++
+		}
+		p.Done(now, c, place.Outcome{Latency: time.Millisecond})
+	}
+	part := float64(home) / objects
+	assert.Assert(t, part < 0.32, "%.2f of the requests stay, 3 of 11 fit", part)
+}
+
 // Guards against a region that loses more of its requests at once than may move within two seconds.
 func TestRegionMovesSlowly(t *testing.T) {
 	p := placer(t, 1, target(1, "golfo-a"), target(2, "pacifico-a"), target(3, "altiplano-a"))
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -49,6 +49,10 @@
 	// customers changes within seconds, and shares of regions move slower than that anyway.
 	boundWeight = 0.2
 
+	// idleTime is the time without a request after which the shares of regions need not move slowly: the span over which a
+	// fleet is held to a largest move.
+	idleTime = 2 * time.Second
+
 	// maxClasses bounds the kinds of requests whose work is known: some times the routes of a plan.
 	maxClasses = 4096
 )
@@ -115,6 +119,7 @@
 	spilled int     // Requests among those that left it.
 
 	askedBound map[string]int // Requests among them that may run in one region only, by region.
+	lastAsked  time.Time      // When the last request came.
 	spillTime  time.Time
 }
 
@@ -207,6 +212,10 @@
 
 // advance moves the shares of regions towards their goal.
 func (s *service) advance(now time.Time) {
+	if now.Sub(s.lastAsked) > idleTime {
+		s.regions, s.moved = s.goal, now // Nothing moves where there are no requests.
+		return
+	}
 	s.regions = approach(s.regions, s.goal, stepOf(now.Sub(s.moved)), s.caps)
 	s.moved = now
 }
@@ -238,6 +247,7 @@
 // choose returns the target for a request: the one for its key in the region of its key, while that has room.
 func (s *service) choose(now time.Time, ask Ask, position float64, hash uint64, c Config) (*node, bool, steer.Reason) {
 	s.asked++
+	s.lastAsked = now
 	s.class(ask.Class).ask(now, &ask)
 	if only := ask.only(); only != "" {
 		s.askedBound[only]++
