--- a/internal/edge/place/place_test.go
+++ b/internal/edge/place/place_test.go
@@ -276,22 +276,7 @@
 
 // Guards against a region with few targets that are busier than those of other regions.
 func TestPoorRegionKeepsWhatItsTargetsCarry(t *testing.T) {
-	targets := []*belief.Registered{target(1, "golfo-a")}
-	for i := range 5 {
-		targets = append(targets, target(10+i, "pacifico-a"), target(20+i, "altiplano-a"))
-	}
-	p := placer(t, 1, targets...)
-	const objects = 4000
-	kept := 0
-	for i := range objects {
-		c, refusal := p.Pick(start, ask(fmt.Sprint(i)))
-		assert.Assert(t, refusal == nil)
-		if c.Target.Regional == "golfo" {
-			kept++
-		}
-		p.Done(start, c, place.Outcome{Latency: time.Millisecond})
-	}
-	part := float64(kept) / objects
+	part := homePart(t, placer(t, 1, poorRegion()...), start)
 	assert.Assert(t, part > 0.24 && part < 0.30, "%.3f of the requests of the region, 3 of 11 fit", part)
 }
 
@@ -332,17 +317,20 @@
 	assert.Assert(t, before < 0.01, "%.3f of the free requests still go to the region", before)
 }
 
-// Guards against shares of regions that are those of the first targets that a started host saw, for half a minute.
-func TestStartedHostTakesSharesOfAllTargets(t *testing.T) {
-	p := placer(t, 1, target(1, "golfo-a"))
-	var all []*belief.Registered
+// poorRegion returns one target of the own region and five of each other.
+func poorRegion() []*belief.Registered {
+	targets := []*belief.Registered{target(1, "golfo-a")}
 	for i := range 5 {
-		all = append(all, target(10+i, "pacifico-a"), target(20+i, "altiplano-a"))
+		targets = append(targets, target(10+i, "pacifico-a"), target(20+i, "altiplano-a"))
 	}
-	p.Update(start.Add(3*time.Second), viewOf(t, append(all, target(1, "golfo-a"))...), 1)
-	const objects = 2000
+	return targets
+}
+
+// homePart returns the part of the requests for many objects that stays in the own region.
+func homePart(t *testing.T, p *place.Placer, now time.Time) float64 {
+	t.Helper()
+	const objects = 4000
 	home := 0
-	now := start.Add(10 * time.Second)
 	for i := range objects {
 		c, refusal := p.Pick(now, ask(fmt.Sprint(i)))
 		assert.Assert(t, refusal == nil)
@@ -351,7 +339,14 @@
 		}
 		p.Done(now, c, place.Outcome{Latency: time.Millisecond})
 	}
-	part := float64(home) / objects
+	return float64(home) / objects
+}
+
+// Guards against shares of regions that are those of the first targets that a started host saw, for half a minute.
+func TestStartedHostTakesSharesOfAllTargets(t *testing.T) {
+	p := placer(t, 1, target(1, "golfo-a"))
+	p.Update(start.Add(3*time.Second), viewOf(t, poorRegion()...), 1)
+	part := homePart(t, p, start.Add(10*time.Second))
 	assert.Assert(t, part < 0.32, "%.2f of the requests stay, 3 of 11 fit", part)
 }
 
