Log and count requests to targets that name a limit

Cause: neither logs nor metrics of told whether hosts ignore the limits of targets, keep them each alone, or learn them late.

Change: package back reads the limit of an answer, package place keeps it for each target, and the host logs its changes. Attempts in the access log show the limit that was known, and pass-limited counts them. No decision uses the limit yet.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -80,14 +81,15 @@
 	Reason          string // Reason phrase of the status line.
 	Header          http.Header
 	Body            []byte
-	Signed          bool              // The answer carries the target's signature, so the target itself produced it.
-	Load            *steer.TargetLoad // Nil when the answer reports none.
-	Gone            bool              // Another target now uses the address.
-	Closing         bool              // The target announced that it closes the connection.
-	Reused          bool              // The connection had been used for other requests.
-	StaleConnection bool              // The target closed the reused connection while it was idle or instead of answering.
-	Sent            bool              // At least one byte may have reached the target.
-	Err             error             // Why there is no answer; nil with one.
+	Signed          bool               // The answer carries the target's signature, so the target itself produced it.
+	Load            *steer.TargetLoad  // Nil when the answer reports none.
+	Limit           *steer.TargetLimit // Nil without an answer of the target, or if its limit is malformed.
+	Gone            bool               // Another target now uses the address.
+	Closing         bool               // The target announced that it closes the connection.
+	Reused          bool               // The connection had been used for other requests.
+	StaleConnection bool               // The target closed the reused connection while it was idle or instead of answering.
+	Sent            bool               // At least one byte may have reached the target.
+	Err             error              // Why there is no answer; nil with one.
 
 	// Release frees the memory reserved for the body. It is nil if none is reserved.
 	Release func()
@@ -395,6 +397,21 @@
 	}
 }
 
+// parseLimit returns the limit in the headers of an answer. It returns nil if the value is malformed.
+func parseLimit(values []string) *steer.TargetLimit {
+	if len(values) == 0 {
+		return &steer.TargetLimit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return nil
+	}
+	return &steer.TargetLimit{
+		Limited:   true,
+		PerSecond: perSecond,
+	}
+}
+
 // parseKeepAlive returns the idle timeout that a Keep-Alive header names, less a margin, or the default.
 func parseKeepAlive(value string) time.Duration {
 	for part := range strings.SplitSeq(value, ",") {
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -28,6 +28,7 @@
 	Signature:         "Signature",
 	NotRun:            "Not-Run",
 	Load:              "Load",
+	Limit:             "Limit",
 	TargetID:          "Target",
 	MisdirectedStatus: http.StatusMisdirectedRequest,
 }
@@ -218,6 +219,35 @@
 	assert.Assert(t, !strings.Contains(head, "Content-Length"))
 }
 
+// Guards against limits of targets that are read from the wrong target's answer, or from a malformed one.
+func TestReadsLimitOfTarget(t *testing.T) {
+	answer := func(status, headers string) string {
+		return "HTTP/1.1 " + status + "\r\nId: ID\r\nSignature: s\r\nContent-Length: 0\r\n" + headers + "\r\n"
+	}
+	for _, c := range []struct {
+		name   string
+		answer string
+		want   *steer.TargetLimit
+	}{
+		{name: "limit", answer: answer("200 OK", "Limit: 12.5\r\n"), want: &steer.TargetLimit{Limited: true, PerSecond: 12.5}},
+		{name: "zero", answer: answer("200 OK", "Limit: 0\r\n"), want: &steer.TargetLimit{Limited: true}},
+		{name: "failure", answer: answer("500 Error", "Limit: 2\r\n"), want: &steer.TargetLimit{Limited: true, PerSecond: 2}},
+		{name: "none", answer: answer("200 OK", ""), want: &steer.TargetLimit{}},
+		{name: "malformed", answer: answer("200 OK", "Limit: many\r\n")},
+		{name: "not a number", answer: answer("200 OK", "Limit: NaN\r\n")},
+		{name: "infinite", answer: answer("200 OK", "Limit: Inf\r\n")},
+		{name: "negative", answer: answer("200 OK", "Limit: -1\r\n")},
+		{name: "other target", answer: answer("421 Misdirected", "Target: other\r\nLimit: 2\r\n")},
+		{name: "no answer", answer: "|CLOSE"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScriptedTarget(t, func(int, int) string { return c.answer })
+			r := newPool(t).Do(context.Background(), newCall(s, "7"))
+			assert.DeepEqual(t, r.Limit, c.want)
+		})
+	}
+}
+
 // Guards against reuse of a connection that is closed, is about to be closed or has unread bytes.
 func TestReusesConnectionsOnlyWhenSafe(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -271,6 +271,7 @@
 		Body:    body,
 		Signed:  header.Get(names.Signature) != "",
 		Load:    parseLoad(header.Get(names.Load)),
+		Limit:   parseLimit(header.Values(names.Limit)),
 		Closing: response.Close,
 	}
 	c.keep = parseKeepAlive(header.Get("Keep-Alive"))
@@ -280,7 +281,9 @@
 	switch {
 	case response.StatusCode == names.MisdirectedStatus:
 		result.Verdict = steer.NotRun
-		result.Gone = header.Get(names.TargetID) != x.call.Endpoint.ID
+		if result.Gone = header.Get(names.TargetID) != x.call.Endpoint.ID; result.Gone {
+			result.Limit = nil // It is the limit of the target that has the address now.
+		}
 	case header.Get(names.NotRun) != "":
 		result.Verdict = steer.NotRun
 	case response.StatusCode < http.StatusMultipleChoices && !result.Signed:
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -162,6 +162,8 @@
 		Region:     s.Region,
 		Regions:    s.Regions,
 		Ejection:   n.logEjection,
+
+		LimitChange: n.logLimitChange,
 	})
 	n.quotas = share.New(share.Config{
 		Host:     s.HostID,
@@ -272,6 +274,12 @@
 		"told", a.FromPeers, "gentle", a.SlowStart)
 }
 
+// logLimitChange logs that a target limits its requests, changed its limit or lifted it.
+func (n *Node) logLimitChange(c place.LimitChange) {
+	_ = level.Info(n.logger).Log("msg", "Limit of target changed.", "target", c.Target, "limited", c.Limit.Limited,
+		"per-second", c.Limit.PerSecond)
+}
+
 // watchViews applies each new view of the platform until the context ends.
 func (n *Node) watchViews(ctx context.Context) {
 	started := time.Now()
--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -59,6 +59,11 @@
 	for range max(len(j.attempts)-1, 0) {
 		metrics.GetOrRegisterCounter("pass-repeated", l.metrics).Inc(1)
 	}
+	for _, a := range j.attempts {
+		if a.limit.Limited {
+			metrics.GetOrRegisterCounter("pass-limited", l.metrics).Inc(1)
+		}
+	}
 	missedObjective := j.route != nil && j.route.Objective > 0 && elapsed > j.route.Objective
 	sampled := outcome == "answered" && len(j.attempts) == 1 && !missedObjective && response.Status < 500
 	omitted, ok := l.allow(now, sampled)
@@ -135,6 +140,9 @@
 		}
 		fmt.Fprintf(&b, "%s load=%.1f load-age=%s home=%t reused=%t status=%d verdict=%s took=%s", t.target, t.estimatedLoad,
 			t.loadAge.Round(time.Millisecond), t.firstChoice, t.reused, t.status, t.verdict, t.elapsed.Round(time.Microsecond))
+		if t.limit.Limited {
+			fmt.Fprintf(&b, " limit=%g", t.limit.PerSecond)
+		}
 		if t.err != nil {
 			fmt.Fprintf(&b, " err=%q", t.err.Error())
 		}
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -115,6 +115,7 @@
 	estimatedLoad float64
 	loadAge       time.Duration
 	firstChoice   bool
+	limit         steer.TargetLimit // Limit of the target that was known when it was chosen.
 	reused        bool
 	status        int
 	verdict       steer.Verdict
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -116,6 +116,7 @@
 	outcome := place.Outcome{
 		Latency:        elapsed,
 		Load:           result.Load,
+		Limit:          result.Limit,
 		Failed:         result.Status == 0 || result.Verdict == steer.Ran && result.Status >= http.StatusInternalServerError,
 		TimedOut:       timedOut,
 		ConnectionLost: connFailed,
@@ -132,6 +133,7 @@
 		estimatedLoad: choice.EstimatedLoad,
 		loadAge:       choice.ReportAge,
 		firstChoice:   choice.Home,
+		limit:         choice.Limit,
 		reused:        result.Reused,
 		status:        result.Status,
 		verdict:       result.Verdict,
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -17,6 +17,8 @@
 	Region     string
 	Regions    map[string]string // Region by data centre.
 	Ejection   func(Ejection)    // Called for each ejection of a target; must not block. Nil means none.
+
+	LimitChange func(LimitChange) // Called when the limit of a target changes; must not block. Nil means none.
 }
 
 // Ejection says that a target gets no requests for some time after consecutive failures.
@@ -48,6 +50,7 @@
 	EstimatedLoad float64       // Load of the target on which the choice is based, in requests.
 	ReportAge     time.Duration // Age of the report behind that load; negative without a report.
 	Home          bool          // The target is the first choice for the key.
+	Limit         steer.TargetLimit
 	class         string
 	loadPerSlot   float64
 	targetState   *targetState
@@ -57,13 +60,14 @@
 // Outcome is the result of a request at a target.
 type Outcome struct {
 	Latency        time.Duration
-	Load           *steer.TargetLoad // Load that the target reported; nil if it reported none.
-	Failed         bool              // No answer, or one that shows a fault of the target.
-	TimedOut       bool              // No answer before the deadline of the request.
-	ConnectionLost bool              // No connection, or one that ended without an answer. The target may have restarted.
-	Shed           bool              // The target refused the request.
-	Gone           bool              // Another target has the address.
-	Inconclusive   bool              // Says nothing about the target: the caller left, or an idle connection had ended.
+	Load           *steer.TargetLoad  // Load that the target reported; nil if it reported none.
+	Limit          *steer.TargetLimit // Limit in the answer; nil without an answer, or if it is malformed.
+	Failed         bool               // No answer, or one that shows a fault of the target.
+	TimedOut       bool               // No answer before the deadline of the request.
+	ConnectionLost bool               // No connection, or one that ended without an answer. The target may have restarted.
+	Shed           bool               // The target refused the request.
+	Gone           bool               // Another target has the address.
+	Inconclusive   bool               // Says nothing about the target: the caller left, or an idle connection had ended.
 }
 
 // Placer chooses targets. It is safe for concurrent use.
@@ -78,6 +82,9 @@
 	if c.Ejection == nil {
 		c.Ejection = func(Ejection) {}
 	}
+	if c.LimitChange == nil {
+		c.LimitChange = func(LimitChange) {}
+	}
 	return &Placer{
 		config:   c,
 		services: map[string]*service{},
@@ -104,7 +111,7 @@
 	for name, list := range view.Targets {
 		s := p.services[name]
 		if s == nil {
-			s = newService(p.config.Ejection)
+			s = newService(p.config)
 			p.services[name] = s
 		}
 		s.update(now, list, view, p.config, fleet)
@@ -130,6 +137,7 @@
 		EstimatedLoad: best.estimatedLoad(now),
 		ReportAge:     best.reportAge(now),
 		Home:          home,
+		Limit:         best.namedLimit(),
 		class:         request.Class,
 		loadPerSlot:   best.loadPerSlot(now),
 		targetState:   best,
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -97,6 +97,7 @@
 // service holds what this host knows of the targets of one service.
 type service struct {
 	onEjection      func(Ejection)
+	onLimitChange   func(LimitChange)
 	targets         map[string]*targetState   // By target id.
 	targetsByRegion map[string][]*targetState // Those of targets, by region.
 	goalShares      []share                   // Shares of regions that follow from their capacity.
@@ -125,12 +126,14 @@
 	spillUpdated   time.Time      // Last update of spillFraction.
 }
 
-func newService(onEjection func(Ejection)) *service {
+func newService(c Config) *service {
 	return &service{
-		onEjection: onEjection,
-		targets:    map[string]*targetState{},
-		classes:    map[string]*class{},
-		pinned:     map[string]float64{},
+		onEjection:    c.Ejection,
+		onLimitChange: c.LimitChange,
+
+		targets: map[string]*targetState{},
+		classes: map[string]*class{},
+		pinned:  map[string]float64{},
 
 		pinnedRequests: map[string]int{},
 		reportLife:     minReportLife,
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -59,6 +59,7 @@
 	notedBusy           bool          // The last note reported the target as busy.
 	tokens              float64       // Token bucket of a cold target.
 	refilledAt          time.Time     // Time of the last refill of tokens; zero while the target is warm.
+	limit               *requestLimit // Nil if the target names no limit.
 }
 
 // reportAge returns the age of the last report, or -1 if there was none.
@@ -130,6 +131,9 @@
 		t.replaced = true
 		return
 	}
+	if o.Limit != nil {
+		t.recordLimit(now, started, *o.Limit)
+	}
 	if o.Inconclusive {
 		return
 	}
--- a/platform.go
+++ b/platform.go
@@ -99,6 +99,12 @@
 	Slots   int // Requests that it can process concurrently.
 }
 
+// TargetLimit says how many requests a target takes.
+type TargetLimit struct {
+	Limited   bool    // Whether the target limits its requests.
+	PerSecond float64 // Requests per second that it takes from all hosts together; 0 unless Limited.
+}
+
 // TargetObservation summarises the results of a target's requests, as seen by a host over a short interval.
 type TargetObservation struct {
 	Target   string        // ID.
@@ -173,6 +179,7 @@
 	Signature         string // Set by targets on the answers that they produce.
 	NotRun            string // Set by a target that refused the request without running it.
 	Load              string // Running requests, waiting requests and slots of a target, separated by commas.
+	Limit             string // Requests per second that a target takes from all hosts together; absent without a limit.
 	TargetID          string // ID of the target that answered.
 	RetryAfter        string // Seconds, possibly fractional, after which a refused caller may retry.
 	MisdirectedStatus int    // Status code of a target that is not the expected one and has not run the request.
