Test that targets get no more than the limit they name

Hosts ignore the limits of targets.

Change: a simulated fleet without a network plays limits with 12, 72 and 300 hosts, calm and beside a burst, rolling restarts, hosts cut off from each other, hosts without messages, and registrations that lapse with the store. Config.Host names the own host, which nothing uses yet.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -158,6 +158,7 @@
 	s := &n.settings
 	incarnation := uint64(time.Now().UnixNano())
 	n.placer = place.New(place.Config{
+		Host:       s.HostID,
 		DataCentre: s.DataCentre,
 		Region:     s.Region,
 		Regions:    s.Regions,
--- /dev/null
+++ b/internal/edge/place/limit_test.go
@@ -0,0 +1,343 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/belief"
+	"monsoonhub.example/steer/internal/edge/place"
+)
+
+const (
+	limitWindow  = 4 * time.Second        // Span in which a limit must hold.
+	limitGrace   = 3 * time.Second        // Time after the first answer with a limit from which it must hold.
+	toldAfter    = 500 * time.Millisecond // Time after its first answer with a limit from which a host counts.
+	answerTime   = 100 * time.Millisecond
+	relayTime    = 500 * time.Millisecond // Time until notes have reached all hosts.
+	limitStarts  = 4 * time.Second
+	limitEnds    = 16 * time.Second
+	limitDayEnds = 20 * time.Second
+)
+
+// limitDay is a day on which targets limit their requests.
+type limitDay struct {
+	hosts   int
+	targets int
+	rate    float64                        // Requests per second of all callers.
+	limit   func(target int) float64       // Zero for no limit.
+	rateAt  func(at time.Duration) float64 // Factor of rate; nil for 1.
+	regions []string                       // Regions in which all requests may run; empty allows all.
+
+	registered func(at time.Duration, host int) bool // Nil if all hosts are registered at all times.
+	restarts   func(at time.Duration, host int) bool // Nil if no host restarts.
+	connected  func(at time.Duration, from, to int) bool
+	priority   func(request int) int
+}
+
+// limitArrival is a request that reached a target.
+type limitArrival struct {
+	at   time.Duration
+	host int
+}
+
+// limitReport is what callers and targets saw of a limitDay.
+type limitReport struct {
+	arrivals [][]limitArrival        // By target.
+	told     []map[int]time.Duration // First answer with a limit, by target and host.
+	sent     map[int]int             // Requests while limits are in force that were sent, by priority.
+	refused  map[int]int             // Requests while limits are in force that were refused, by priority.
+}
+
+// limitFleet simulates the hosts of a limitDay. Answers take answerTime, and targets are never full.
+type limitFleet struct {
+	day     limitDay
+	random  *rand.Rand
+	placers []*place.Placer
+	list    []*belief.RegisteredTarget
+	entries []steer.HostEntry
+	pending []pendingAnswer
+	notes   []pendingNotes
+	report  limitReport
+
+	registered []steer.HostEntry // Hosts of the last view.
+}
+
+type pendingAnswer struct {
+	at     time.Duration
+	host   int
+	target int
+	choice place.Choice
+	limit  steer.TargetLimit
+}
+
+type pendingNotes struct {
+	at    time.Duration
+	host  int
+	notes []steer.TargetObservation
+}
+
+var limitDataCentres = []string{"golfo-a", "pacifico-a", "altiplano-a"}
+
+// playLimitDay plays a day and returns what happened.
+func playLimitDay(t *testing.T, seed uint64, day limitDay) limitReport {
+	t.Helper()
+	f := &limitFleet{
+		day:    day,
+		random: rand.New(rand.NewPCG(seed, 23)),
+		report: limitReport{
+			arrivals: make([][]limitArrival, day.targets),
+			sent:     map[int]int{},
+			refused:  map[int]int{},
+		},
+	}
+	for i := range day.targets {
+		f.list = append(f.list, newTarget(i, limitDataCentres[i%len(limitDataCentres)]))
+		f.report.told = append(f.report.told, map[int]time.Duration{})
+	}
+	for i := range day.hosts {
+		centre := limitDataCentres[i%len(limitDataCentres)]
+		f.entries = append(f.entries, steer.HostEntry{
+			ID:          fmt.Sprintf("host-%03d", i),
+			DataCentre:  centre,
+			Region:      regions[centre],
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 80),
+			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 81),
+		})
+		f.placers = append(f.placers, f.newPlacer(i))
+	}
+	f.play(t)
+	return f.report
+}
+
+func (f *limitFleet) newPlacer(host int) *place.Placer {
+	return place.New(place.Config{
+		Host:       f.entries[host].ID,
+		DataCentre: f.entries[host].DataCentre,
+		Region:     f.entries[host].Region,
+		Regions:    regions,
+	})
+}
+
+func (f *limitFleet) play(t *testing.T) {
+	t.Helper()
+	due := 0.0
+	for at := time.Duration(0); at < limitDayEnds; at += tick {
+		f.deliver(at)
+		if at%(10*tick) == 0 {
+			f.updateViews(t, at)
+		}
+		if at%noteInterval == 0 {
+			for i, p := range f.placers {
+				f.notes = append(f.notes, pendingNotes{
+					at:    at + relayTime,
+					host:  i,
+					notes: p.Notes(start.Add(at)),
+				})
+			}
+		}
+		rate := f.day.rate
+		if f.day.rateAt != nil {
+			rate *= f.day.rateAt(at)
+		}
+		for due += rate * tick.Seconds(); due >= 1; due-- {
+			f.request(at)
+		}
+	}
+}
+
+// updateViews gives all hosts their view, and replaces the hosts that restart.
+func (f *limitFleet) updateViews(t *testing.T, at time.Duration) {
+	t.Helper()
+	view := newView(t, f.list...)
+	for i, entry := range f.entries {
+		if f.day.registered == nil || f.day.registered(at, i) {
+			view.Hosts = append(view.Hosts, entry)
+		}
+	}
+	changed := at == 0 || !slices.Equal(view.Hosts, f.registered)
+	f.registered = view.Hosts
+	for i := range f.placers {
+		restarts := f.day.restarts != nil && f.day.restarts(at, i)
+		if restarts {
+			f.placers[i] = f.newPlacer(i)
+			f.pending = slices.DeleteFunc(f.pending, func(a pendingAnswer) bool { return a.host == i })
+		}
+		if changed || restarts {
+			f.placers[i].Update(start.Add(at), view, place.Fleet{Hosts: len(f.entries)})
+		}
+	}
+}
+
+// deliver delivers the answers and notes that are due.
+func (f *limitFleet) deliver(at time.Duration) {
+	for len(f.pending) > 0 && f.pending[0].at <= at {
+		a := f.pending[0]
+		f.pending = f.pending[1:]
+		if _, told := f.report.told[a.target][a.host]; !told && a.limit.Limited {
+			f.report.told[a.target][a.host] = at
+		}
+		f.placers[a.host].Done(start.Add(at), a.choice, place.Outcome{
+			Latency: answerTime,
+			Load:    &steer.TargetLoad{Running: 1, Slots: slots},
+			Limit:   &a.limit,
+		})
+	}
+	for len(f.notes) > 0 && f.notes[0].at <= at {
+		n := f.notes[0]
+		f.notes = f.notes[1:]
+		for i := range n.notes {
+			n.notes[i].Age += relayTime
+		}
+		for to, p := range f.placers {
+			if to != n.host && (f.day.connected == nil || f.day.connected(at, n.host, to)) {
+				p.MergeNotes(start.Add(at), n.notes)
+			}
+		}
+	}
+}
+
+// request sends one request of a caller through a host of its choice.
+func (f *limitFleet) request(at time.Duration) {
+	host := f.random.IntN(f.day.hosts)
+	request := newRequest(fmt.Sprint(f.random.IntN(10 * f.day.targets)))
+	request.Regions = f.day.regions
+	if f.day.priority != nil {
+		request.Priority = f.day.priority(f.random.IntN(100))
+		request.Class = fmt.Sprint("class-", request.Priority)
+	}
+	limited := at >= limitStarts && at < limitEnds
+	choice, refusal := f.placers[host].Pick(start.Add(at), request)
+	if refusal != nil {
+		if limited {
+			f.report.refused[request.Priority]++
+		}
+		return
+	}
+	if limited {
+		f.report.sent[request.Priority]++
+	}
+	target := slices.IndexFunc(f.list, func(r *belief.RegisteredTarget) bool { return r.ID == choice.Target.ID })
+	f.report.arrivals[target] = append(f.report.arrivals[target], limitArrival{
+		at:   at,
+		host: host,
+	})
+	var limit steer.TargetLimit
+	if perSecond := f.day.limit(target); perSecond > 0 && limited {
+		limit = steer.TargetLimit{
+			Limited:   true,
+			PerSecond: perSecond,
+		}
+	}
+	f.pending = append(f.pending, pendingAnswer{
+		at:     at + answerTime,
+		host:   host,
+		target: target,
+		choice: choice,
+		limit:  limit,
+	})
+}
+
+// checkLimits checks every window that ends limitGrace or more after a target first named its limit. The requests of a host
+// count from toldAfter after its first answer with the limit.
+func (r *limitReport) checkLimits(t *testing.T, day limitDay) {
+	t.Helper()
+	over := 0
+	for target, arrivals := range r.arrivals {
+		limit := day.limit(target)
+		if limit == 0 || len(r.told[target]) == 0 {
+			continue
+		}
+		first := limitDayEnds
+		for _, at := range r.told[target] {
+			first = min(first, at)
+		}
+		var counted []time.Duration
+		worst := 0
+		for _, a := range arrivals {
+			told, ok := r.told[target][a.host]
+			if a.at >= limitEnds || !ok || a.at < told+toldAfter {
+				continue
+			}
+			counted = append(counted, a.at)
+			for counted[0] <= a.at-limitWindow {
+				counted = counted[1:]
+			}
+			if a.at >= first+limitGrace {
+				worst = max(worst, len(counted))
+			}
+		}
+		if allowed := int(1.5*limit*limitWindow.Seconds()) + 5; worst > allowed {
+			if over == 0 {
+				t.Errorf("target %d with a limit of %g/s got %d requests in %s, %d allowed", target, limit, worst, limitWindow, allowed)
+			}
+			over++
+		}
+	}
+	if over > 0 {
+		t.Errorf("%d of %d targets got more than they allow", over, day.targets)
+	}
+}
+
+// limitSevenInTen gives seven in ten targets a limit between low and high requests per second.
+func limitSevenInTen(low, high float64) func(target int) float64 {
+	return func(target int) float64 {
+		if target%10 >= 7 {
+			return 0
+		}
+		return low + (high-low)*float64(target%7)/6
+	}
+}
+
+// Guards against targets that get more requests than the limit that they name, from all hosts together.
+func TestTargetsGetNoMoreThanTheLimitTheyName(t *testing.T) {
+	sizes := map[string]limitDay{
+		"12 hosts":  {hosts: 12, targets: 24, rate: 720, limit: limitSevenInTen(9, 18)},
+		"72 hosts":  {hosts: 72, targets: 120, rate: 720, limit: limitSevenInTen(1, 3)},
+		"300 hosts": {hosts: 300, targets: 90, rate: 600, limit: limitSevenInTen(0.5, 2)},
+	}
+	troubles := map[string]func(day *limitDay){
+		"calm": func(*limitDay) {},
+		"burst": func(day *limitDay) {
+			day.rateAt = func(at time.Duration) float64 {
+				if at >= 6*time.Second && at < 10*time.Second {
+					return 3
+				}
+				return 1
+			}
+		},
+		"rolling restarts": func(day *limitDay) {
+			turn := func(at time.Duration) int { return int(at/(200*time.Millisecond)) % day.hosts }
+			day.restarts = func(at time.Duration, host int) bool { return turn(at) == host && at%(200*time.Millisecond) == 0 }
+			day.registered = func(at time.Duration, host int) bool {
+				return turn(at) != host && turn(max(0, at-200*time.Millisecond)) != host
+			}
+		},
+		"hosts cut off from each other": func(day *limitDay) {
+			day.connected = func(at time.Duration, from, to int) bool { return at < 6*time.Second || from%2 == to%2 }
+		},
+		"hosts without messages": func(day *limitDay) {
+			day.connected = func(time.Duration, int, int) bool { return false }
+		},
+		"registrations lapse with the store": func(day *limitDay) {
+			day.registered = func(at time.Duration, host int) bool {
+				back := 9*time.Second + time.Duration(host)*3*time.Second/time.Duration(day.hosts)
+				return at < 8*time.Second || at >= back
+			}
+		},
+	}
+	for size, day := range sizes {
+		for trouble, apply := range troubles {
+			t.Run(size+"/"+trouble, func(t *testing.T) {
+				day := day
+				apply(&day)
+				r := playLimitDay(t, 1, day)
+				r.checkLimits(t, day)
+			})
+		}
+	}
+}
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -13,6 +13,7 @@
 
 // Config configures a Placer.
 type Config struct {
+	Host       string // ID of this host.
 	DataCentre string
 	Region     string
 	Regions    map[string]string // Region by data centre.
