Keep to the limits that targets name, all hosts together

Callers saw nothing of it; targets in need got two to three times the requests that they take.

Cause: hosts chose targets by load and failures only. A target that names a limit has free slots and answers well, so it looked like the best choice. Class of fault: a bound on a shared resource that nobody accounts for across the fleet.

Change: a limit is divided among a few senders, no more than one and what the target takes in a second. Every host computes them from the same list of registered hosts by rendezvous hashing, so shares need no messages, store or leader; a host that becomes a sender starts without a token. All others leave the target out: its objects go to the next target. Hosts tell each other of limits and their end in a new field of their messages, which older builds ignore. An end counts only from an answer to a request that was sent after the last answer with the limit. Refusals give the reason target-limit.

Before, targets were served what they said they would not take.

Callers pay more than they must, since senders do not use up the limits: next.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -195,6 +195,8 @@
 		Hint:         n.hint,
 		Notes:        n.placer.Notes,
 		OnNotes:      n.placer.MergeNotes,
+		Limits:       n.placer.LimitNotes,
+		OnLimits:     n.placer.MergeLimitNotes,
 		OnPeerStatus: n.handlePeerStatus,
 		Changes:      n.handleChanges,
 		Logger:       c.Logger,
@@ -278,7 +280,7 @@
 // logLimitChange logs that a target limits its requests, changed its limit or lifted it.
 func (n *Node) logLimitChange(c place.LimitChange) {
 	_ = level.Info(n.logger).Log("msg", "Limit of target changed.", "target", c.Target, "limited", c.Limit.Limited,
-		"per-second", c.Limit.PerSecond)
+		"per-second", c.Limit.PerSecond, "share", c.Share, "told", c.FromPeers)
 }
 
 // watchViews applies each new view of the platform until the context ends.
--- a/internal/edge/place/limit_test.go
+++ b/internal/edge/place/limit_test.go
@@ -79,6 +79,8 @@
 	at    time.Duration
 	host  int
 	notes []steer.TargetObservation
+
+	limits []steer.LimitObservation
 }
 
 var limitDataCentres = []string{"golfo-a", "pacifico-a", "altiplano-a"}
@@ -137,6 +139,8 @@
 					at:    at + relayTime,
 					host:  i,
 					notes: p.Notes(start.Add(at)),
+
+					limits: p.LimitNotes(start.Add(at)),
 				})
 			}
 		}
@@ -193,9 +197,13 @@
 		for i := range n.notes {
 			n.notes[i].Age += relayTime
 		}
+		for i := range n.limits {
+			n.limits[i].Age += relayTime
+		}
 		for to, p := range f.placers {
 			if to != n.host && (f.day.connected == nil || f.day.connected(at, n.host, to)) {
 				p.MergeNotes(start.Add(at), n.notes)
+				p.MergeLimitNotes(start.Add(at), n.limits)
 			}
 		}
 	}
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -76,6 +76,8 @@
 	config   Config
 	mu       sync.Mutex
 	services map[string]*service
+	entries  []steer.HostEntry // Registered hosts of the last view.
+	hosts    []fleetHost       // The same hosts.
 }
 
 // New returns a placer without targets. Update sets them.
@@ -104,9 +106,13 @@
 	defer p.mu.Unlock()
 	fleet.Hosts = max(fleet.Hosts, 1)
 	fleet.MaxHosts = max(fleet.Hosts, fleet.MaxHosts)
+	if !slices.Equal(view.Hosts, p.entries) {
+		p.entries, p.hosts = view.Hosts, newFleetHosts(view.Hosts, p.config.Host)
+	}
 	for name, s := range p.services {
 		if len(view.Targets[name]) == 0 {
 			s.update(now, nil, view, p.config, fleet)
+			s.setHosts(p.hosts, fleet.Hosts)
 		}
 	}
 	for name, list := range view.Targets {
@@ -116,6 +122,7 @@
 			p.services[name] = s
 		}
 		s.update(now, list, view, p.config, fleet)
+		s.setHosts(p.hosts, fleet.Hosts)
 	}
 }
 
@@ -193,6 +200,34 @@
 	}
 }
 
+// LimitNotes returns the limits of targets that other hosts must learn.
+func (p *Placer) LimitNotes(now time.Time) []steer.LimitObservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var notes []steer.LimitObservation
+	for _, s := range p.services {
+		for _, t := range s.targets {
+			if note, ok := t.limitNote(now); ok {
+				notes = append(notes, note)
+			}
+		}
+	}
+	return notes
+}
+
+// MergeLimitNotes applies the limits that other hosts saw.
+func (p *Placer) MergeLimitNotes(now time.Time, notes []steer.LimitObservation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, note := range notes {
+		for _, s := range p.services {
+			if t := s.targets[note.Target]; t != nil {
+				t.mergeLimit(now, note)
+			}
+		}
+	}
+}
+
 // newRefusal returns a refusal of a request that was not sent.
 func newRefusal(reason steer.Reason, retryAfter time.Duration) *steer.Refusal {
 	return &steer.Refusal{
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -114,6 +114,9 @@
 	warmup          time.Duration             // Time for which a started target is cold.
 	coldRate        float64                   // Requests per second that a cold target may get from this host.
 
+	hosts     []fleetHost // Registered hosts.
+	fleetSize int         // Hosts that share the targets, also those that are not registered.
+
 	maxInFlight int // Limit on this host's requests in progress at a target, each of which takes a connection; 0 for none.
 
 	spillFraction float64 // Fraction of the requests that may leave their region because it is full.
@@ -171,6 +174,12 @@
 	s.updateShares(now, c)
 }
 
+// setHosts sets the registered hosts and the number of hosts that share the targets.
+func (s *service) setHosts(hosts []fleetHost, fleetSize int) {
+	s.hosts, s.fleetSize = hosts, fleetSize
+	s.updateLimitShares()
+}
+
 // updateShares recomputes the capacity of regions and their shares.
 func (s *service) updateShares(now time.Time, c Config) {
 	s.capacities = map[string]float64{}
@@ -271,11 +280,14 @@
 		home = s.home(now, request, hash, func(other string) bool { return other != region && request.allowsRegion(other) })
 	}
 	if home == nil {
-		return nil, false, steer.ReasonNoTarget
+		return nil, false, s.noTargetReason(now, &request)
 	}
 	t := home
 	if home.loadPerSlot(now) >= s.loadLimit(&request, home) || s.full(home) {
-		if t = s.overflow(now, request, hash, region); t == nil {
+		if t = s.spareLimited(now, request, hash, region); t == nil {
+			t = s.overflow(now, request, hash, region)
+		}
+		if t == nil {
 			return nil, false, steer.ReasonCapacity
 		}
 	}
@@ -302,6 +314,38 @@
 	return t
 }
 
+// spareLimited returns the target of a region that the key prefers among those that have named a limit and may still get a
+// request. Their own objects do not use up the limits, because a limit is shared by a few hosts only. An object that is not
+// cached costs such a target no more than it allows for.
+func (s *service) spareLimited(now time.Time, request Request, hash uint64, region string) *targetState {
+	var best *targetState
+	maxWeight := uint64(0)
+	for t := range s.usable(now, request, func(other string) bool { return other == region }) {
+		if t.limit == nil || t.loadPerSlot(now) >= maxOverflowLoad || s.full(t) {
+			continue
+		}
+		if weight := mix(hash ^ t.idHash); best == nil || weight > maxWeight {
+			best, maxWeight = t, weight
+		}
+	}
+	return best
+}
+
+// noTargetReason returns the reason for the refusal of a request that finds no usable target.
+func (s *service) noTargetReason(now time.Time, request *Request) steer.Reason {
+	for region, targets := range s.targetsByRegion {
+		if !request.allowsRegion(region) {
+			continue
+		}
+		for _, t := range targets {
+			if t.limit != nil && t.usable(now) && !slices.Contains(request.Tried, t.target.ID) {
+				return steer.ReasonTargetLimit
+			}
+		}
+	}
+	return steer.ReasonNoTarget
+}
+
 // full reports whether a target has all the requests in progress, one a connection, that this host may send to it.
 func (s *service) full(t *targetState) bool { return s.maxInFlight > 0 && t.inFlight >= s.maxInFlight }
 
@@ -342,7 +386,8 @@
 				continue
 			}
 			for _, t := range targets {
-				if t.usable(now) && !slices.Contains(request.Tried, t.target.ID) && t.admits(now, s.coldRate) && !yield(t) {
+				if t.usable(now) && !slices.Contains(request.Tried, t.target.ID) && t.admits(now, s.coldRate) &&
+					t.admitsLimit(now) && !yield(t) {
 					return
 				}
 			}
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -60,6 +60,8 @@
 	tokens              float64       // Token bucket of a cold target.
 	refilledAt          time.Time     // Time of the last refill of tokens; zero while the target is warm.
 	limit               *requestLimit // Nil if the target names no limit.
+	liftedAt            time.Time     // When the last limit was lifted; zero if none was.
+	liftNews            bool          // This host saw the limit being lifted and has not told others yet.
 }
 
 // reportAge returns the age of the last report, or -1 if there was none.
@@ -114,11 +116,14 @@
 	return t.tokens >= 1
 }
 
-// takeToken takes a token if the target is cold.
+// takeToken takes a token if the target is cold, and one if it has a limit.
 func (t *targetState) takeToken(now time.Time) {
 	if t.cold(now) {
 		t.tokens--
 	}
+	if t.limit != nil {
+		t.limit.tokens--
+	}
 }
 
 // finish records the outcome of a request that was sent at the given time.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -39,7 +39,8 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes and Changes are optional.
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits and Changes are
+// optional.
 type Config struct {
 	Host         string
 	DataCentre   string
@@ -49,6 +50,8 @@
 	Hint         func(now time.Time) (Hint, bool)                     // Returns the hint for cut-off hosts; false if none.
 	Notes        func(now time.Time) []steer.TargetObservation        // Returns own observations since the last round.
 	OnNotes      func(now time.Time, notes []steer.TargetObservation) // Called with observations of other hosts of the region.
+	Limits       func(now time.Time) []steer.LimitObservation         // Returns own news of limits since the last round.
+	OnLimits     func(now time.Time, limits []steer.LimitObservation) // Called with limits that other hosts of any region saw.
 	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
 	Changes      func(now time.Time, from string, c steer.Changes)    // Called with changes of entries that another host relayed.
 	Logger       log.Logger                                           // Nil means no logging.
@@ -99,6 +102,8 @@
 	remoteDataCentres map[string]*remoteSum // Sums of other data centres that were received since the last round, by name.
 	localNotes        []agedNote            // Notes of this data centre, to be sent to others of the region.
 	remoteNotes       []agedNote            // Notes of other data centres of the region, to be passed on in this one.
+	localLimits       limitTable            // Limits that hosts of this data centre saw, to be sent to the others.
+	remoteLimits      limitTable            // Limits that other data centres sent, to be passed on in this one.
 	remote            *message              // Last message with a hint.
 	messageReceivedAt time.Time             // When remote was received.
 }
@@ -127,6 +132,12 @@
 	if c.OnNotes == nil {
 		c.OnNotes = func(time.Time, []steer.TargetObservation) {}
 	}
+	if c.Limits == nil {
+		c.Limits = func(time.Time) []steer.LimitObservation { return nil }
+	}
+	if c.OnLimits == nil {
+		c.OnLimits = func(time.Time, []steer.LimitObservation) {}
+	}
 	if c.Changes == nil {
 		c.Changes = func(time.Time, string, steer.Changes) {}
 	}
@@ -144,6 +155,8 @@
 		hosts:             map[string]*host{},
 		reports:           map[string]report{},
 		remoteDataCentres: map[string]*remoteSum{},
+		localLimits:       limitTable{},
+		remoteLimits:      limitTable{},
 	}
 	g.wait.Add(1)
 	go func() {
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -15,7 +15,9 @@
 	remote := m.DataCentre != g.config.DataCentre
 	notes := fromWireNotes(g.notesOfOthers(m))
 	g.config.OnNotes(now, append(fromWireNotes(m.RemoteNotes), notes...))
-	g.recordMessage(now, m, notes, remote)
+	limits := fromWireLimits(m.Limits)
+	g.config.OnLimits(now, append(fromWireLimits(m.RemoteLimits), limits...))
+	g.recordMessage(now, m, notes, limits, remote)
 	peerStatus, ok := g.peerStatus(now, m, remote)
 	if !ok {
 		return
@@ -69,7 +71,7 @@
 }
 
 // recordMessage stores the time of a message, and the parts of it that are passed on in the next round.
-func (g *Gossiper) recordMessage(now time.Time, m *message, notes []steer.TargetObservation, remote bool) {
+func (g *Gossiper) recordMessage(now time.Time, m *message, notes []steer.TargetObservation, limits []steer.LimitObservation, remote bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if h := g.hosts[m.Host]; h != nil {
@@ -80,9 +82,11 @@
 	}
 	if !remote {
 		g.localNotes = appendNotes(now, g.localNotes, m.Host, notes)
+		g.localLimits.add(now, limits)
 		return
 	}
 	g.remoteNotes = appendNotes(now, g.remoteNotes, m.Host, notes)
+	g.remoteLimits.add(now, limits)
 	if m.HostCount > 0 {
 		g.remoteDataCentres[m.DataCentre] = &remoteSum{
 			message:           m,
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -33,8 +33,9 @@
 func (g *Gossiper) runRound(now time.Time) {
 	ownUsage := g.config.Usage(now)
 	notes := g.config.Notes(now)
+	limits := g.config.Limits(now)
 	hint, platformReachable := g.config.Hint(now)
-	if othersUsage := g.sendRound(now, ownUsage, notes, hint, platformReachable); othersUsage != nil {
+	if othersUsage := g.sendRound(now, ownUsage, notes, limits, hint, platformReachable); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -46,7 +47,8 @@
 // sendRound sends one round of messages. If this host is a leader it returns the usage of the other hosts of the data centre
 // together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
-	now time.Time, ownUsage share.Report, notes []steer.TargetObservation, hint Hint, platformReachable bool,
+	now time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
+	hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -65,11 +67,13 @@
 		Cold:              coldMillis(hint.Cold),
 	}
 	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
+	g.localLimits.add(now, limits)
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
 	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
+	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
@@ -85,6 +89,7 @@
 	}
 	g.sendToLocalHosts(now, *m, ownUsage, remoteDataCentres)
 	g.localNotes = g.localNotes[:0]
+	clear(g.localLimits)
 	if g.usesLeaders && g.isLeader {
 		othersUsage, _ = g.sum(now)
 	}
@@ -106,8 +111,8 @@
 	}
 }
 
-// sendToRemoteDataCentres sends one host of each other data centre the sum of this one. Hosts of the same region also get the
-// notes of this data centre.
+// sendToRemoteDataCentres sends one host of each other data centre the sum of this one. It includes the limits
+// of targets that its hosts saw. Hosts of the same region also get the notes of this data centre.
 func (g *Gossiper) sendToRemoteDataCentres(now time.Time, m message, ownUsage share.Report) {
 	sum, hostCount := g.dataCentreSum(now, ownUsage)
 	u := newUsageEncoder(sum)
@@ -121,6 +126,7 @@
 			otherRegions = append(otherRegions, h)
 		}
 	}
+	m.Limits = toWireLimits(g.localLimits.list(now))
 	g.setPending(&m, otherRegions)
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
 	g.setPending(&m, sameRegion)
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -32,9 +32,11 @@
 	PlatformReachable bool               `cbor:"reaches,omitempty"` // Emptied and Cold are set.
 	ReachableFor      int64              `cbor:"reached,omitempty"` // Milliseconds, as in Hint.
 	Emptied           []string           `cbor:"emptied,omitempty"`
-	Cold              map[string]int64   `cbor:"cold,omitempty"`   // Remaining warm-up time in milliseconds, by target.
-	Notes             []note             `cbor:"notes,omitempty"`  // Observations of hosts of the data centre.
-	RemoteNotes       []note             `cbor:"passed,omitempty"` // Observations of other data centres of the region, passed on.
+	Cold              map[string]int64   `cbor:"cold,omitempty"`          // Remaining warm-up time in milliseconds, by target.
+	Notes             []note             `cbor:"notes,omitempty"`         // Observations of hosts of the data centre.
+	RemoteNotes       []note             `cbor:"passed,omitempty"`        // Observations of other data centres of the region, passed on.
+	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
+	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 }
 
@@ -52,6 +54,15 @@
 	HostID   string // Host that made the note, in a message with notes of several hosts.
 }
 
+// limitNote is the encoding of a steer.LimitObservation.
+type limitNote struct {
+	_         struct{} `cbor:",toarray"`
+	Target    string
+	Limited   bool
+	PerSecond float64
+	Age       int64 // Milliseconds.
+}
+
 // remoteDataCentre is the report of another data centre that the sender passes on.
 type remoteDataCentre struct {
 	DataCentre string   `cbor:"data-centre"`
@@ -229,6 +240,38 @@
 	return out
 }
 
+func toWireLimits(list []steer.LimitObservation) []limitNote {
+	out := make([]limitNote, 0, len(list))
+	for _, o := range list {
+		out = append(out, limitNote{
+			Target:    o.Target,
+			Limited:   o.Limit.Limited,
+			PerSecond: o.Limit.PerSecond,
+			Age:       o.Age.Milliseconds(),
+		})
+	}
+	return out
+}
+
+// fromWireLimits decodes limits, without those that no target can have named.
+func fromWireLimits(list []limitNote) []steer.LimitObservation {
+	out := make([]steer.LimitObservation, 0, len(list))
+	for _, n := range list {
+		if !(n.PerSecond >= 0) || math.IsInf(n.PerSecond, 1) || n.Age < 0 {
+			continue
+		}
+		out = append(out, steer.LimitObservation{
+			Target: n.Target,
+			Limit: steer.TargetLimit{
+				Limited:   n.Limited,
+				PerSecond: n.PerSecond,
+			},
+			Age: time.Duration(n.Age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 func coldMillis(cold map[string]time.Duration) map[string]int64 {
 	out := make(map[string]int64, len(cold))
 	for id, left := range cold {
--- a/platform.go
+++ b/platform.go
@@ -115,6 +115,13 @@
 	Age      time.Duration // Age of the report.
 }
 
+// LimitObservation is the limit of a target that a host saw in an answer.
+type LimitObservation struct {
+	Target string // ID.
+	Limit  TargetLimit
+	Age    time.Duration // Time since the answer arrived.
+}
+
 // HostEntry is the registration of a host on the platform.
 type HostEntry struct {
 	ID          string         `json:"id"`
--- a/verdict.go
+++ b/verdict.go
@@ -54,6 +54,7 @@
 	ReasonCapacity      Reason = "no-capacity"    // No capacity unit became free in time.
 	ReasonMemory        Reason = "no-memory"      // The memory reserved for answers is exhausted.
 	ReasonNoTarget      Reason = "no-target"      // No target can take the request.
+	ReasonTargetLimit   Reason = "target-limit"   // The targets that could take the request have named limits that are used up.
 	ReasonTicket        Reason = "bad-ticket"     // The ticket is malformed, forged or expired.
 	ReasonTicketGone    Reason = "ticket-gone"    // The process that owns the ticket does not answer.
 	ReasonTicketBusy    Reason = "ticket-busy"    // The request with this ticket is in progress.
