Let few senders of a limit send at once what many would

Cause: each sender of a limit could send one request at once. In a small data centre few hosts are senders, and requests come unevenly, so a sender was idle between its token and the next request: limits were used by 48 to 73 %.

Change: the senders together may send at once one request and what the target takes in a second, however few they are.

--- a/internal/edge/place/limit.go
+++ b/internal/edge/place/limit.go
@@ -16,9 +16,6 @@
 	// arrive there. The hosts of other regions use the rest.
 	homeRegionFraction = 0.85
 
-	// limitBurst is the number of requests that a host may send at once to a target with a limit.
-	limitBurst = 1
-
 	// minLimit is the smallest limit in requests per second that hosts apply. Without any request, they would not learn that
 	// a target has lifted its limit.
 	minLimit = 0.1
@@ -51,6 +48,7 @@
 type requestLimit struct {
 	perSecond   float64   // Requests per second that the target takes from all hosts together.
 	share       float64   // Requests per second that this host may send; 0 if it is no sender.
+	burst       float64   // Requests that this host may send at once.
 	confirmedAt time.Time // When the last answer that named the limit arrived at this or another host.
 	toldAt      time.Time // When a host last told the others.
 	news        bool      // This host saw an answer with the limit since it last told others.
@@ -79,13 +77,13 @@
 	return hosts
 }
 
-// limitShare returns the requests per second that this host may send to a target with a limit. The limit is divided equally
-// among its senders.
-func (s *service) limitShare(t *targetState, perSecond float64) float64 {
+// limitShare returns the requests per second that this host may send to a target with a limit, and those that it may send at
+// once. Both are divided equally among the senders of the target.
+func (s *service) limitShare(t *targetState, perSecond float64) (share, burst float64) {
 	perSecond = math.Max(perSecond, minLimit)
 	position := slices.IndexFunc(s.hosts, func(h fleetHost) bool { return h.own })
 	if position < 0 {
-		return 0
+		return 0, 1
 	}
 	own := s.hosts[position]
 	ownHome := own.region == t.target.HomeRegion
@@ -110,16 +108,16 @@
 	}
 	senders := min(group, 1+int(rate))
 	if before >= senders {
-		return 0
+		return 0, 1
 	}
-	return rate / float64(senders)
+	return rate / float64(senders), math.Max(1, (1+rate)/float64(senders))
 }
 
 // updateLimitShares recomputes the shares of limits after the registered hosts have changed.
 func (s *service) updateLimitShares() {
 	for _, t := range s.targets {
 		if t.limit != nil {
-			t.limit.share = s.limitShare(t, t.limit.perSecond)
+			t.limit.share, t.limit.burst = s.limitShare(t, t.limit.perSecond)
 		}
 	}
 }
@@ -166,7 +164,8 @@
 	if t.limit.perSecond == perSecond {
 		return
 	}
-	t.limit.perSecond, t.limit.share, t.limit.toldAt = perSecond, t.service.limitShare(t, perSecond), time.Time{}
+	t.limit.perSecond, t.limit.toldAt = perSecond, time.Time{}
+	t.limit.share, t.limit.burst = t.service.limitShare(t, perSecond)
 	t.reportLimit(fromPeers)
 }
 
@@ -249,5 +248,5 @@
 		l.tokens = 0
 		return
 	}
-	l.tokens = math.Min(limitBurst, l.tokens+rate*elapsed)
+	l.tokens = math.Min(l.burst, l.tokens+rate*elapsed)
 }
--- a/internal/edge/place/limit_test.go
+++ b/internal/edge/place/limit_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/belief"
 	"monsoonhub.example/steer/internal/edge/place"
@@ -187,7 +189,7 @@
 		}
 		f.placers[a.host].Done(start.Add(at), a.choice, place.Outcome{
 			Latency: answerTime,
-			Load:    &steer.TargetLoad{Running: 1, Slots: slots},
+			Load:    f.load(a.target),
 			Limit:   &a.limit,
 		})
 	}
@@ -209,6 +211,21 @@
 	}
 }
 
+// load returns the load that a target reports.
+func (f *limitFleet) load(target int) *steer.TargetLoad {
+	requests := 0
+	for _, a := range f.pending {
+		if a.target == target {
+			requests++
+		}
+	}
+	return &steer.TargetLoad{
+		Running: min(requests, slots),
+		Waiting: max(0, requests-slots),
+		Slots:   slots,
+	}
+}
+
 // request sends one request of a caller through a host of its choice.
 func (f *limitFleet) request(at time.Duration) {
 	host := f.random.IntN(f.day.hosts)
@@ -291,6 +308,22 @@
 	}
 }
 
+// rate returns the requests per second that arrived at the targets that choose selects, between two moments.
+func (r *limitReport) rate(from, to time.Duration, choose func(target int) bool) float64 {
+	count := 0
+	for target, arrivals := range r.arrivals {
+		if !choose(target) {
+			continue
+		}
+		for _, a := range arrivals {
+			if a.at >= from && a.at < to {
+				count++
+			}
+		}
+	}
+	return float64(count) / (to - from).Seconds()
+}
+
 // limitSevenInTen gives seven in ten targets a limit between low and high requests per second.
 func limitSevenInTen(low, high float64) func(target int) float64 {
 	return func(target int) float64 {
@@ -349,3 +382,29 @@
 		}
 	}
 }
+
+// Guards against targets with a limit that stay idle while requests for them go to targets that are already busy. Load: more
+// requests for each target than its limit allows.
+func TestTargetsAreUsedUpToTheirLimits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		day  limitDay
+		used float64 // Smallest fraction of all limits together that is used.
+	}{
+		{name: "12 hosts", day: limitDay{hosts: 12, targets: 24, rate: 800, limit: limitSevenInTen(9, 18)}, used: 0.75},
+		{name: "72 hosts", day: limitDay{hosts: 72, targets: 120, rate: 4000, limit: limitSevenInTen(1, 3)}, used: 0.75},
+		{name: "300 hosts", day: limitDay{hosts: 300, targets: 90, rate: 3000, limit: limitSevenInTen(0.5, 2)}, used: 0.5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := playLimitDay(t, 1, c.day)
+			r.checkLimits(t, c.day)
+			limits := 0.0
+			for target := range c.day.targets {
+				limits += c.day.limit(target)
+			}
+			used := r.rate(limitStarts+limitWindow, limitEnds, func(target int) bool { return c.day.limit(target) > 0 })
+			t.Logf("used %.0f of %.0f requests a second", used, limits)
+			assert.Assert(t, used >= c.used*limits, "used %.0f of %.0f requests a second", used, limits)
+		})
+	}
+}
