Give the hosts of a region nine tenths of the limits of its targets

Cause: the hosts of other regions use little of their part, since requests leave their region only when it is full or must run elsewhere.

Change: 90 % for the hosts of the region of a target instead of 85 %.

--- a/internal/edge/place/limit.go
+++ b/internal/edge/place/limit.go
@@ -14,7 +14,7 @@
 const (
 	// homeRegionFraction is the fraction of a target's limit that the hosts of its region use. Most requests for the target
 	// arrive there. The hosts of other regions use the rest.
-	homeRegionFraction = 0.85
+	homeRegionFraction = 0.9
 
 	// minLimit is the smallest limit in requests per second that hosts apply. Without any request, they would not learn that
 	// a target has lifted its limit.
