Test how limits of targets begin, end and are refused

Cause: the tests of the fix play whole fleets; nothing named the order of answers, the path from the header to the refusal, or the end of a limit.

Change: tests only. A limit ends by a newer answer or message only; requests return to targets after their limits have ended; a limit without news for 10 s is tried; the limit in an answer refuses the next request with a true "not run" at once.

--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -33,6 +33,7 @@
 	Signature:         "Signature",
 	NotRun:            "Not-Run",
 	Load:              "Load",
+	Limit:             "Limit",
 	TargetID:          "Target",
 	RetryAfter:        "Retry-After",
 	MisdirectedStatus: http.StatusMisdirectedRequest,
@@ -316,6 +317,23 @@
 	}
 }
 
+// Guards against requests that go on to a target after its answer has named a limit that this host may not use.
+func TestLimitInAnswerRefusesNextRequest(t *testing.T) {
+	e := newTestEnv(t, 1, func(n int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Limit", "2.5")
+		succeed(n, w, r)
+	})
+	response := e.send("/query/1")
+	assert.Equal(t, response.Status, http.StatusOK)
+	begun := time.Now()
+	response = e.send("/query/1")
+	assert.Equal(t, response.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, string(response.Body), "target-limit not-run\n")
+	assert.Assert(t, time.Since(begun) < 100*time.Millisecond)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(e.requests()), 1)
+}
+
 // Guards against a started host that refuses callers although its first plan arrives a moment later, and against callers that
 // wait long for a host that gets no plan.
 func TestWaitsForFirstPlan(t *testing.T) {
--- a/internal/edge/place/limit_test.go
+++ b/internal/edge/place/limit_test.go
@@ -437,3 +437,126 @@
 		})
 	}
 }
+
+// Guards against hosts that leave a target out after it has lifted its limit. Load: as before the limits.
+func TestRequestsReturnAfterLimitsEnd(t *testing.T) {
+	for _, day := range []limitDay{
+		{hosts: 12, targets: 24, rate: 600, limit: limitSevenInTen(9, 18)},
+		{hosts: 72, targets: 120, rate: 720, limit: limitSevenInTen(1, 3)},
+	} {
+		r := playLimitDay(t, 1, day)
+		limited := func(target int) bool { return day.limit(target) > 0 }
+		before := r.rate(0, limitStarts, limited)
+		after := r.rate(limitEnds+2*time.Second, limitDayEnds, limited)
+		assert.Assert(t, after > 0.9*before, "%d hosts: %.0f requests a second before, %.0f after", day.hosts, before, after)
+	}
+}
+
+// answered returns an outcome with a limit, or without one if perSecond is 0.
+func answered(perSecond float64) place.Outcome {
+	return place.Outcome{
+		Latency: answerTime,
+		Limit: &steer.TargetLimit{
+			Limited:   perSecond > 0,
+			PerSecond: perSecond,
+		},
+	}
+}
+
+// Guards against limits that end by an answer or message that is older than the last answer with the limit.
+func TestLimitEndsByNewerAnswerOnly(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	lifted := func(age time.Duration) []steer.LimitObservation {
+		return []steer.LimitObservation{{
+			Target: "golfo-a-1",
+			Age:    age,
+		}}
+	}
+	for _, c := range []struct {
+		name    string
+		after   func(p *place.Placer, earlier, later place.Choice) // Called 200 ms after an answer named the limit at 100 ms.
+		limited bool
+	}{
+		{
+			name:    "nothing",
+			after:   func(*place.Placer, place.Choice, place.Choice) {},
+			limited: true,
+		},
+		{
+			name:    "answer to a request sent before",
+			after:   func(p *place.Placer, earlier, _ place.Choice) { p.Done(at(300), earlier, answered(0)) },
+			limited: true,
+		},
+		{
+			name:  "answer to a request sent afterwards",
+			after: func(p *place.Placer, _, later place.Choice) { p.Done(at(300), later, answered(0)) },
+		},
+		{
+			name: "no answer",
+			after: func(p *place.Placer, _, later place.Choice) {
+				p.Done(at(300), later, place.Outcome{Failed: true})
+			},
+			limited: true,
+		},
+		{
+			name: "older message",
+			after: func(p *place.Placer, _, _ place.Choice) {
+				p.MergeLimitNotes(at(300), lifted(250*time.Millisecond))
+			},
+			limited: true,
+		},
+		{
+			name: "newer message",
+			after: func(p *place.Placer, _, _ place.Choice) {
+				p.MergeLimitNotes(at(300), lifted(50*time.Millisecond))
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := place.New(place.Config{
+				Host:       "host-1",
+				DataCentre: "golfo-a",
+				Region:     "golfo",
+				Regions:    regions,
+			})
+			view := newView(t, newTarget(1, "golfo-a"))
+			view.Hosts = []steer.HostEntry{{ID: "host-1", Region: "golfo"}}
+			p.Update(start, view, place.Fleet{Hosts: 1})
+			pick := func(now time.Time) place.Choice {
+				choice, refusal := p.Pick(now, newRequest("17"))
+				assert.Assert(t, refusal == nil)
+				return choice
+			}
+			first, earlier := pick(at(0)), pick(at(50))
+			p.Done(at(100), first, answered(20))
+			later := pick(at(200))
+			c.after(p, earlier, later)
+			assert.Equal(t, pick(at(400)).Limit.Limited, c.limited)
+		})
+	}
+}
+
+// Guards against a target that gets no requests for good because the senders of its limit are gone.
+func TestLimitWithoutNewsIsTried(t *testing.T) {
+	p := place.New(place.Config{
+		Host:       "host-1",
+		DataCentre: "golfo-a",
+		Region:     "golfo",
+		Regions:    regions,
+	})
+	view := newView(t, newTarget(1, "golfo-a")) // The host itself is not registered, so it is no sender.
+	p.Update(start, view, place.Fleet{Hosts: 2})
+	choice, refusal := p.Pick(start, newRequest("17"))
+	assert.Assert(t, refusal == nil)
+	p.Done(start, choice, answered(2))
+	for at := tick; at < 30*time.Second; at += tick {
+		_, refusal := p.Pick(start.Add(at), newRequest("17"))
+		if refusal == nil {
+			assert.Assert(t, at > 10*time.Second, "tried after %s", at)
+			return
+		}
+		assert.Equal(t, refusal.Reason, steer.ReasonTargetLimit)
+		assert.Equal(t, refusal.Verdict, steer.NotRun)
+	}
+	t.Error("the target was not tried")
+}
