Recompute shares of limits only when the registered hosts change

Cause: each view of the platform recomputed the shares of all limits, with a hash for each host and target: the list of hosts rarely changes, targets change several times a second.

Change: the shares follow the list of hosts. The check of a limit and its absence are one function, and a new limit needs no special value.

--- a/internal/edge/place/limit.go
+++ b/internal/edge/place/limit.go
@@ -78,7 +78,7 @@
 }
 
 // limitShare returns the requests per second that this host may send to a target with a limit, and those that it may send at
-// once. Both are divided equally among the senders of the target.
+// once. Both are divided equally among the senders of the target. The share of any other host is 0.
 func (s *service) limitShare(t *targetState, perSecond float64) (share, burst float64) {
 	perSecond = math.Max(perSecond, minLimit)
 	position := slices.IndexFunc(s.hosts, func(h fleetHost) bool { return h.own })
@@ -113,12 +113,10 @@
 	return rate / float64(senders), math.Max(1, (1+rate)/float64(senders))
 }
 
-// updateLimitShares recomputes the shares of limits after the registered hosts have changed.
-func (s *service) updateLimitShares() {
-	for _, t := range s.targets {
-		if t.limit != nil {
-			t.limit.share, t.limit.burst = s.limitShare(t, t.limit.perSecond)
-		}
+// updateLimitShare recomputes the share of this host in the target's limit, if it has one.
+func (t *targetState) updateLimitShare() {
+	if t.limit != nil {
+		t.limit.share, t.limit.burst = t.service.limitShare(t, t.limit.perSecond)
 	}
 }
 
@@ -153,19 +151,19 @@
 
 // setLimit sets the limit that an answer named at the given time.
 func (t *targetState) setLimit(now, confirmedAt time.Time, perSecond float64, fromPeers bool) {
+	changed := t.limit == nil || t.limit.perSecond != perSecond
 	if t.limit == nil {
 		t.limit = &requestLimit{
-			perSecond:  math.NaN(),
 			tokens:     rand.Float64(), // Random, so that senders send their first request at different times.
 			refilledAt: now,
 		}
 	}
 	t.limit.confirmedAt = confirmedAt
-	if t.limit.perSecond == perSecond {
+	if !changed {
 		return
 	}
 	t.limit.perSecond, t.limit.toldAt = perSecond, time.Time{}
-	t.limit.share, t.limit.burst = t.service.limitShare(t, perSecond)
+	t.updateLimitShare()
 	t.reportLimit(fromPeers)
 }
 
@@ -220,8 +218,14 @@
 	return note, true
 }
 
-// admitsLimit reports whether this host may send a request to the target, which has a limit.
-func (t *targetState) admitsLimit(now time.Time) bool {
+// admitsLimit reports whether the limit of the target, if it has one, lets this host send it a request.
+func (t *targetState) admitsLimit(now time.Time, request *Request) bool {
+	if t.limit == nil {
+		return true
+	}
+	if request.avoidsLimits {
+		return false
+	}
 	t.limit.refill(now, t.service.fleetSize)
 	return t.limit.tokens >= 1
 }
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -50,10 +50,10 @@
 // Choice is the target chosen for a request. The caller passes it to Placer.Done exactly once.
 type Choice struct {
 	Target        *belief.RegisteredTarget
-	EstimatedLoad float64       // Load of the target on which the choice is based, in requests.
-	ReportAge     time.Duration // Age of the report behind that load; negative without a report.
-	Home          bool          // The target is the first choice for the key.
-	Limit         steer.TargetLimit
+	EstimatedLoad float64           // Load of the target on which the choice is based, in requests.
+	ReportAge     time.Duration     // Age of the report behind that load; negative without a report.
+	Home          bool              // The target is the first choice for the key.
+	Limit         steer.TargetLimit // Limit that the target is known to have named.
 	class         string
 	loadPerSlot   float64
 	targetState   *targetState
@@ -79,7 +79,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	entries  []steer.HostEntry // Registered hosts of the last view.
-	hosts    []fleetHost       // The same hosts.
+	hosts    []fleetHost       // The hosts of entries.
 }
 
 // New returns a placer without targets. Update sets them.
@@ -108,13 +108,9 @@
 	defer p.mu.Unlock()
 	fleet.Hosts = max(fleet.Hosts, 1)
 	fleet.MaxHosts = max(fleet.Hosts, fleet.MaxHosts)
-	if !slices.Equal(view.Hosts, p.entries) {
-		p.entries, p.hosts = view.Hosts, newFleetHosts(view.Hosts, p.config.Host)
-	}
 	for name, s := range p.services {
 		if len(view.Targets[name]) == 0 {
 			s.update(now, nil, view, p.config, fleet)
-			s.setHosts(p.hosts, fleet.Hosts)
 		}
 	}
 	for name, list := range view.Targets {
@@ -124,7 +120,21 @@
 			p.services[name] = s
 		}
 		s.update(now, list, view, p.config, fleet)
-		s.setHosts(p.hosts, fleet.Hosts)
+		s.hosts = p.hosts
+	}
+	if !slices.Equal(view.Hosts, p.entries) {
+		p.setHosts(view.Hosts)
+	}
+}
+
+// setHosts sets the registered hosts and recomputes the shares of limits.
+func (p *Placer) setHosts(entries []steer.HostEntry) {
+	p.entries, p.hosts = entries, newFleetHosts(entries, p.config.Host)
+	for _, s := range p.services {
+		s.hosts = p.hosts
+		for _, t := range s.targets {
+			t.updateLimitShare()
+		}
 	}
 }
 
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -115,7 +115,7 @@
 	coldRate        float64                   // Requests per second that a cold target may get from this host.
 
 	hosts     []fleetHost // Registered hosts.
-	fleetSize int         // Hosts that share the targets, also those that are not registered.
+	fleetSize int         // Number of hosts that share the targets, with those that are not registered.
 	yielding  yielding
 
 	maxInFlight int // Limit on this host's requests in progress at a target, each of which takes a connection; 0 for none.
@@ -165,6 +165,7 @@
 		s.targetsByRegion[target.HomeRegion] = append(s.targetsByRegion[target.HomeRegion], t)
 	}
 	s.targets = targets
+	s.fleetSize = fleet.Hosts
 	s.coldRate = 0
 	if len(list) > 0 && view.Index != nil {
 		plan := view.Index.Plan.Services[list[0].Service]
@@ -175,12 +176,6 @@
 	s.updateShares(now, c)
 }
 
-// setHosts sets the registered hosts and the number of hosts that share the targets.
-func (s *service) setHosts(hosts []fleetHost, fleetSize int) {
-	s.hosts, s.fleetSize = hosts, fleetSize
-	s.updateLimitShares()
-}
-
 // updateShares recomputes the capacity of regions and their shares.
 func (s *service) updateShares(now time.Time, c Config) {
 	s.capacities = map[string]float64{}
@@ -389,7 +384,7 @@
 			}
 			for _, t := range targets {
 				if t.usable(now) && !slices.Contains(request.Tried, t.target.ID) && t.admits(now, s.coldRate) &&
-					(t.limit == nil || !request.avoidsLimits && t.admitsLimit(now)) && !yield(t) {
+					t.admitsLimit(now, &request) && !yield(t) {
 					return
 				}
 			}
