Ignore the missing limit of an answer that no target has signed

Callers saw nothing of it; found by reading the diff.

Cause: a failure without a signature may be bytes that the target did not mean as its answer. Without the limit in it, all hosts took the limit as lifted, and told each other, until the next answer named it.

Change: an answer without a limit lifts one only if the target has signed it or says that it has not run the request.

Figures: the new row "none, unsigned failure" of back.TestReadsLimitOfTarget failed before and passes.

--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -233,6 +233,8 @@
 		{name: "zero", answer: answer("200 OK", "Limit: 0\r\n"), want: &steer.TargetLimit{Limited: true}},
 		{name: "failure", answer: answer("500 Error", "Limit: 2\r\n"), want: &steer.TargetLimit{Limited: true, PerSecond: 2}},
 		{name: "none", answer: answer("200 OK", ""), want: &steer.TargetLimit{}},
+		{name: "none, unsigned failure", answer: "HTTP/1.1 500 Error\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
+		{name: "none, not run", answer: "HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", want: &steer.TargetLimit{}},
 		{name: "malformed", answer: answer("200 OK", "Limit: many\r\n")},
 		{name: "not a number", answer: answer("200 OK", "Limit: NaN\r\n")},
 		{name: "infinite", answer: answer("200 OK", "Limit: Inf\r\n")},
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -288,6 +288,8 @@
 		result.Verdict = steer.NotRun
 	case response.StatusCode < http.StatusMultipleChoices && !result.Signed:
 		return failed(errUnsigned)
+	case !result.Signed && result.Limit != nil && !result.Limit.Limited:
+		result.Limit = nil // The target may not have produced the answer, so the missing header says nothing.
 	}
 	return result
 }
