Play the fleets of the limit tests in parallel

Change: tests only. Rows run in parallel, requests in progress are counted as they come and go, and messages without content are not handed round.

--- a/internal/edge/place/limit_test.go
+++ b/internal/edge/place/limit_test.go
@@ -67,6 +67,7 @@
 	report  limitReport
 
 	registered []steer.HostEntry // Hosts of the last view.
+	inProgress []int             // Requests in progress, by target.
 }
 
 type pendingAnswer struct {
@@ -91,7 +92,10 @@
 func playLimitDay(t *testing.T, seed uint64, day limitDay) limitReport {
 	t.Helper()
 	f := &limitFleet{
-		day:    day,
+		day: day,
+
+		inProgress: make([]int, day.targets),
+
 		random: rand.New(rand.NewPCG(seed, 23)),
 		report: limitReport{
 			arrivals: make([][]limitArrival, day.targets),
@@ -171,7 +175,12 @@
 		restarts := f.day.restarts != nil && f.day.restarts(at, i)
 		if restarts {
 			f.placers[i] = f.newPlacer(i)
-			f.pending = slices.DeleteFunc(f.pending, func(a pendingAnswer) bool { return a.host == i })
+			f.pending = slices.DeleteFunc(f.pending, func(a pendingAnswer) bool {
+				if a.host == i {
+					f.inProgress[a.target]--
+				}
+				return a.host == i
+			})
 		}
 		if changed || restarts {
 			f.placers[i].Update(start.Add(at), view, place.Fleet{Hosts: len(f.entries)})
@@ -184,6 +193,7 @@
 	for len(f.pending) > 0 && f.pending[0].at <= at {
 		a := f.pending[0]
 		f.pending = f.pending[1:]
+		f.inProgress[a.target]--
 		if _, told := f.report.told[a.target][a.host]; !told && a.limit.Limited {
 			f.report.told[a.target][a.host] = at
 		}
@@ -202,6 +212,9 @@
 		for i := range n.limits {
 			n.limits[i].Age += relayTime
 		}
+		if len(n.notes)+len(n.limits) == 0 {
+			continue
+		}
 		for to, p := range f.placers {
 			if to != n.host && (f.day.connected == nil || f.day.connected(at, n.host, to)) {
 				p.MergeNotes(start.Add(at), n.notes)
@@ -213,12 +226,7 @@
 
 // load returns the load that a target reports.
 func (f *limitFleet) load(target int) *steer.TargetLoad {
-	requests := 0
-	for _, a := range f.pending {
-		if a.target == target {
-			requests++
-		}
-	}
+	requests := f.inProgress[target]
 	return &steer.TargetLoad{
 		Running: min(requests, slots),
 		Waiting: max(0, requests-slots),
@@ -251,6 +259,7 @@
 		at:   at,
 		host: host,
 	})
+	f.inProgress[target]++
 	var limit steer.TargetLimit
 	if perSecond := f.day.limit(target); perSecond > 0 && limited {
 		limit = steer.TargetLimit{
@@ -374,6 +383,7 @@
 	for size, day := range sizes {
 		for trouble, apply := range troubles {
 			t.Run(size+"/"+trouble, func(t *testing.T) {
+				t.Parallel()
 				day := day
 				apply(&day)
 				r := playLimitDay(t, 1, day)
@@ -396,6 +406,7 @@
 		{name: "300 hosts", day: limitDay{hosts: 300, targets: 90, rate: 3000, limit: limitSevenInTen(0.5, 2)}, used: 0.5},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			r := playLimitDay(t, 1, c.day)
 			r.checkLimits(t, c.day)
 			limits := 0.0
@@ -420,6 +431,7 @@
 		{name: "72 hosts", day: limitDay{hosts: 72, targets: 240, rate: 1200, limit: func(int) float64 { return 3 }}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			c.day.priority = func(request int) int {
 				if request < 30 {
 					return 1
