Read the time of a round after the messages that it passes on

A round took its time from the tick, then called Usage, Notes, Limits and Hint, and only then took the mutex. Messages that arrived meanwhile were recorded as received later than the round, so that the round passed on their limits, notes and sums with a smaller age. An age below zero is refused by the receiver, which dropped the limit: the hosts of another data centre then learned it a round later or, if the host stays busy, not at all. The age of the host's own notes and limits missed the time of these calls too.

Change: a round reads its time under the mutex under which messages are recorded. Own notes and limits are aged from the time at which they were taken. The same fault is mended for notes and for the sums of other data centres. Ruled out: truncation to milliseconds on the wire, which loses less than 1 ms and only of what was added.

--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -23,8 +23,8 @@
 		select {
 		case <-g.ctx.Done():
 			return
-		case now := <-ticker.C:
-			g.guard.Do("round", func() { g.runRound(now) })
+		case <-ticker.C:
+			g.guard.Do("round", func() { g.runRound(time.Now()) })
 		}
 	}
 }
@@ -44,10 +44,10 @@
 	}
 }
 
-// sendRound sends one round of messages. If this host is a leader it returns the usage of the other hosts of the data centre
-// together, or nil if it is unknown. Otherwise it returns nil.
+// sendRound sends one round of messages with the notes and limits that this host had at observedAt. If this host is a leader it
+// returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
-	now time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
+	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
 	hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
@@ -55,6 +55,10 @@
 	if g.leaving {
 		return nil
 	}
+	now := time.Now() // Read under the mutex, so that no recorded message is later and ages do not shrink.
+	ownNotes := appendNotes(observedAt, nil, g.config.Host, notes)
+	ownLimits := limitTable{}
+	ownLimits.add(observedAt, limits)
 	g.round++
 	g.updateLinks(now)
 	g.report(now)
@@ -66,14 +70,14 @@
 		Emptied:           hint.Emptied,
 		Cold:              coldMillis(hint.Cold),
 	}
-	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
-	g.localLimits.add(now, limits)
+	g.localNotes = appendNotes(observedAt, g.localNotes, g.config.Host, notes)
+	g.localLimits.add(observedAt, limits)
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
-	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
+	m.Notes, m.RemoteNotes = toWireNotes(currentNotes(now, ownNotes)), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
-	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
+	m.Limits, m.RemoteLimits = toWireLimits(ownLimits.list(now)), toWireLimits(g.remoteLimits.take(now))
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
