Keep goroutines of the daemon's tests from the running subtest

Cause: fleet.subtest replaces the embedded *testing.T, and loads read it for their context. The row "down" of TestStoreFaults did not stop its load when it failed, so that the load raced with the next subtest and hid the failure behind a data race.

Change: loads use a context that the fleet keeps from the start; the row stops its load in any case. No check changes.

--- a/internal/serve/daemon/fleet_test.go
+++ b/internal/serve/daemon/fleet_test.go
@@ -40,7 +40,8 @@
 
 // fleet runs, in this process, 12 hosts in six data centres, with two targets in each data centre.
 type fleet struct {
-	*testing.T
+	*testing.T                  // That of the running subtest. Goroutines must not use it.
+	ctx         context.Context // Ends with the test.
 	dir         string
 	store       *kvmem.Store
 	targets     map[string]*target.Target // By target ID.
@@ -77,6 +78,7 @@
 	t.Helper()
 	f := &fleet{
 		T:       t,
+		ctx:     t.Context(),
 		dir:     t.TempDir(),
 		targets: map[string]*target.Target{},
 		store: kvmem.New(kvmem.Config{
@@ -314,7 +316,7 @@
 		out.err = err
 		return out
 	}
-	r = r.WithContext(httptrace.WithClientTrace(f.Context(), &httptrace.ClientTrace{
+	r = r.WithContext(httptrace.WithClientTrace(f.ctx, &httptrace.ClientTrace{
 		GotConn: func(c httptrace.GotConnInfo) { out.reused = c.Reused },
 	}))
 	r.Header.Set("Steering-Key", "key-of-"+customer)
@@ -407,7 +409,7 @@
 // load lets a number of workers call until stop is called, which returns the results and the number of connections cut.
 // Every third operation of a worker is a GET.
 func (f *fleet) load(workers int) (stop func() ([]result, int)) {
-	ctx, cancel := context.WithCancel(f.Context())
+	ctx, cancel := context.WithCancel(f.ctx)
 	f.loadCount++
 	number := f.loadCount
 	var (
--- a/internal/serve/daemon/guarantees_test.go
+++ b/internal/serve/daemon/guarantees_test.go
@@ -128,6 +128,7 @@
 	stopWatch := f.watchVersions()
 	f.subtest("down", func() {
 		stop := f.load(6)
+		defer stop()
 		f.store.SetFaults(kvmem.Faults{
 			Down: true,
 		})
@@ -284,7 +285,7 @@
 		mu      sync.Mutex
 		results []result
 	)
-	ctx := f.Context()
+	ctx := f.ctx
 	limit := time.Now().Add(length)
 	for i, h := range hosts {
 		group.Go(func() {
@@ -408,7 +409,7 @@
 	var group sync.WaitGroup
 	for _, h := range hosts {
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(f.Context(), 5*time.Second)
+			ctx, cancel := context.WithTimeout(f.ctx, 5*time.Second)
 			defer cancel()
 			_ = h.Abort(ctx)
 		})
