Allocate the buffer of an answer once, in the size that is reserved

Hypotheses, by samples of the runtime at the peak and a profile of all allocations (trials on a scratch copy, race detector): reserved bytes: at most 50 MB here, ruled out as the peak; live when the peak came: 51 to 78 MB, the reserved bytes and copies of growing buffers; garbage that was not yet collected: the other half. bytes.Buffer doubles as a body arrives, so an endless body of 1 MB allocated 3.3 MB (1.3 GB in two cases of 200), none of which a reservation covers. The other 57 % of the allocated bytes were the test's own: its target copied each piece that it wrote.

Change: a body with a declared length gets one buffer of this length. A body without one gets its expected size, and then one buffer of the maximum. Buffers whose read failed have been seen by nobody and are used again, so that endless answers leave little garbage. The target of the test writes without copies, and the bound of the test is now two thirds of the memory.

Conclusion: the reservations were right, and the buffers did not keep to them. serve sets the memory limit of the runtime already, but a limit does not help while copies fill the heap faster than they are collected.

--- a/internal/edge/back/bounds_test.go
+++ b/internal/edge/back/bounds_test.go
@@ -26,7 +26,7 @@
 type endlessTarget struct {
 	listener net.Listener
 	begin    string
-	piece    string
+	piece    []byte        // Written without a copy, which would count as memory of the host.
 	pause    time.Duration // Pause between two pieces.
 	sent     atomic.Int64  // Bytes sent over all connections.
 	open     atomic.Int64  // Open connections.
@@ -39,7 +39,7 @@
 	e := &endlessTarget{
 		listener: listener,
 		begin:    begin,
-		piece:    piece,
+		piece:    []byte(piece),
 		pause:    pause,
 	}
 	t.Cleanup(func() { _ = listener.Close() })
@@ -66,7 +66,7 @@
 		return
 	}
 	for {
-		n, err := io.WriteString(c, e.piece)
+		n, err := c.Write(e.piece)
 		e.sent.Add(int64(n))
 		if err != nil {
 			return
@@ -168,6 +168,7 @@
 func TestManyEndlessAnswersStayWithinMemory(t *testing.T) {
 	const connections = 200
 	const memory = 184 << 20
+	const maxPeak = memory * 2 / 3 // The rest is for requests, tables and connections.
 	for _, f := range endlessAnswers {
 		t.Run(f.name, func(t *testing.T) {
 			e := newEndlessTarget(t, f.begin, f.piece, 0)
@@ -186,8 +187,8 @@
 				}
 				wait.Wait()
 			})
-			t.Logf("%d KB for each connection", peak/connections>>10)
-			assert.Assert(t, peak < memory, "%d MB", peak>>20)
+			t.Logf("%d MB, %d KB for each connection", peak>>20, peak/connections>>10)
+			assert.Assert(t, peak < maxPeak, "%d MB", peak>>20)
 		})
 	}
 }
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -1,7 +1,6 @@
 package back
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/meter"
 )
 
 const (
@@ -212,7 +212,8 @@
 	return response, err
 }
 
-// readBody reads a whole body, within the memory that is reserved for it.
+// readBody reads a whole body, within the memory that is reserved for it. Each buffer is allocated once in the reserved size,
+// since a buffer that grows leaves copies that no reservation covers.
 func (x *exchange) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
 	if response.Body == http.NoBody {
 		return nil, nil
@@ -224,32 +225,35 @@
 		if err := x.reserved.grow(ctx, length); err != nil {
 			return nil, err
 		}
-		return x.readAll(response.Body, length)
-	}
-	first := min(x.reserved.upfront, maxBodyWithoutLength)
-	body, err := x.readAll(response.Body, first)
-	if err != nil || int64(len(body)) < first {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
+	return x.readBodyWithoutLength(ctx, response.Body)
+}
+
+// readBodyWithoutLength reads a body of at most maxBodyWithoutLength bytes.
+func (x *exchange) readBodyWithoutLength(ctx context.Context, body io.Reader) ([]byte, error) {
+	first := make([]byte, min(x.reserved.upfront, maxBodyWithoutLength))
+	n, err := meter.ReadUpTo(body, first)
+	if err != nil || n < len(first) {
+		return first[:n], err
+	}
 	if err := x.reserved.grow(ctx, maxBodyWithoutLength); err != nil {
 		return nil, err
 	}
-	rest, err := x.readAll(response.Body, maxBodyWithoutLength-first+1)
-	if int64(len(body)+len(rest)) > maxBodyWithoutLength {
-		return nil, errAnswerTooLarge
+	budget := x.reserved.memoryBudget
+	whole := budget.takeBuffer()
+	copy(whole, first)
+	rest, err := meter.ReadUpTo(body, whole[n:])
+	if n += rest; err == nil && n > maxBodyWithoutLength {
+		err = errAnswerTooLarge
 	}
-	return append(body, rest...), err
-}
-
-// initialBodyBuffer is the initial size in bytes of the buffer for a body. The buffer grows as the body arrives.
-const initialBodyBuffer = 32 << 10
-
-// readAll reads at most length bytes of a body.
-func (x *exchange) readAll(body io.Reader, length int64) ([]byte, error) {
-	var buffer bytes.Buffer
-	buffer.Grow(int(min(length, initialBodyBuffer)) + bytes.MinRead)
-	_, err := buffer.ReadFrom(io.LimitReader(body, length))
-	return buffer.Bytes(), err
+	if err != nil {
+		budget.returnBuffer(whole)
+		return nil, err
+	}
+	return whole[:n], nil
 }
 
 func failed(err error) Result {
--- a/internal/edge/back/memory.go
+++ b/internal/edge/back/memory.go
@@ -52,7 +52,8 @@
 type memoryBudget struct {
 	upfront  *semaphore.Weighted
 	overflow *semaphore.Weighted
-	maxBody  int64 // Maximum body in bytes of an answer with a declared length.
+	maxBody  int64     // Maximum body in bytes of an answer with a declared length.
+	buffers  sync.Pool // Buffers for bodies without a declared length that nobody has seen, as their reads failed.
 
 	mu      sync.Mutex
 	lengths map[string]float64 // Length in bytes of the largest recent answer, by size class.
@@ -137,6 +138,18 @@
 	}
 }
 
+// takeBuffer returns a buffer for the largest body without a declared length, and one byte more, which tells whether the body
+// is larger. Its content is undefined.
+func (b *memoryBudget) takeBuffer() []byte {
+	if buffer, ok := b.buffers.Get().(*[]byte); ok {
+		return *buffer
+	}
+	return make([]byte, maxBodyWithoutLength+1)
+}
+
+// returnBuffer allows another use of a buffer. Endless answers would otherwise leave garbage faster than it is collected.
+func (b *memoryBudget) returnBuffer(buffer []byte) { b.buffers.Put(&buffer) }
+
 // release frees the reserved memory. Further calls have no effect.
 func (r *reservation) release() {
 	b := r.memoryBudget
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -48,3 +48,17 @@
 	r.bytesRead += int64(n)
 	return n, err
 }
+
+// ReadUpTo reads until the buffer is full or the source ends. Unlike io.ReadFull, it tells the end of the source, which is no
+// error, from a source that was cut off.
+func ReadUpTo(source io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var read int
+		read, err = source.Read(buffer[n:])
+		n += read
+	}
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return n, err
+}
