Bound the memory for the bodies of requests

Each connection of a caller read a body up to max-body-bytes of the plan (64 MB in the example of the platform's tests), with a buffer that grows by copies, before anything knew how many others did the same. 200 callers with bodies of 1 MB, or without end, take a host's whole memory.

Change: 8 % of memory-mb holds the bodies of requests. A body takes 16 KB first and more as it arrives; what finds no memory is refused at once with 503, uses no quota and is not sent, so that a caller can ask another host. The memory is free when the handler has returned. A body that could never fit gets 413. New metric front-no-memory.

--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
@@ -38,8 +37,9 @@
 // exchange is a request and its response.
 type exchange struct {
 	request    *Request
-	response   *Response // Nil while the handler runs.
-	closeAfter bool      // The connection closes after this exchange.
+	body       *requestBody // Of the request, until the handler has returned.
+	response   *Response    // Nil while the handler runs.
+	closeAfter bool         // The connection closes after this exchange.
 }
 
 // readBufferSize is the size of a connection's read buffer in bytes. There are some hundred connections, and requests are
@@ -103,9 +103,13 @@
 	if err != nil {
 		return nil, classifyReadError(err)
 	}
-	body, err := c.body(r, limits)
+	body, err := c.readBody(r, limits)
+	bodyRefused := errors.Is(err, errNoMemory)
 	if err != nil {
-		return nil, err
+		body.release()
+		if !bodyRefused {
+			return nil, err
+		}
 	}
 	requestTarget := r.RequestURI
 	if !strings.HasPrefix(requestTarget, "/") {
@@ -119,11 +123,14 @@
 			Host:    r.Host,
 			Path:    path,
 			Header:  r.Header,
-			Body:    body,
+			Body:    body.data,
 			HasBody: r.ContentLength != 0,
 			Arrived: time.Now(),
+
+			BodyRefused: bodyRefused,
 		},
-		closeAfter: r.Close || !r.ProtoAtLeast(1, 1),
+		body:       body,
+		closeAfter: bodyRefused || r.Close || !r.ProtoAtLeast(1, 1),
 	}, nil
 }
 
@@ -162,34 +169,6 @@
 	return len(c.queue) > 0
 }
 
-func (c *conn) body(r *http.Request, limits steer.RequestLimits) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > limits.BodyBytes {
-		return nil, &statusError{
-			status: http.StatusRequestEntityTooLarge,
-			cause:  meter.ErrTooLarge,
-		}
-	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, err
-		}
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
-	if err != nil {
-		return nil, classifyReadError(err)
-	}
-	if int64(len(body)) > limits.BodyBytes {
-		return nil, &statusError{
-			status: http.StatusRequestEntityTooLarge,
-			cause:  meter.ErrTooLarge,
-		}
-	}
-	return body, nil
-}
-
 // statusError reports a request that cannot be read, and the status that is sent before the connection closes.
 type statusError struct {
 	status int
@@ -257,6 +236,7 @@
 	}
 	if c.closing {
 		c.mu.Unlock()
+		e.body.release()
 		c.drain()
 		return false
 	}
@@ -267,6 +247,7 @@
 			Status: http.StatusBadGateway,
 		}
 		c.server.guard.Do("handler", func() { r = c.server.config.Handler(c.ctx, e.request) })
+		e.body.release()
 		c.mu.Lock()
 		e.response = &r
 		aborted := c.aborted
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"monsoonhub.example/steer"
@@ -63,6 +64,10 @@
 	Body    []byte
 	HasBody bool      // The request has a body, which may be empty.
 	Arrived time.Time // When its last byte was read.
+
+	// BodyRefused means that the body was not read because the memory for bodies is exhausted. The connection closes after the
+	// response.
+	BodyRefused bool
 }
 
 // Response is the response to a request.
@@ -92,6 +97,7 @@
 	Listener net.Listener
 	Handler  Handler
 	Limits   func() steer.RequestLimits // Zero fields select defaults.
+	Memory   int64                      // Memory of the process in bytes, a fraction of which may hold bodies. 0 selects 128 MB.
 	Logger   log.Logger                 // Nil means no logging.
 	Metrics  metrics.Registry           // Nil means a private registry.
 }
@@ -103,6 +109,9 @@
 	guard              *guard.Guard
 	openConns          metrics.Gauge
 	accepted           metrics.Counter
+	noMemory           metrics.Counter
+	bodyMemory         *semaphore.Weighted
+	maxBodyBytes       int64                     // Largest body whose buffer can be moved to a larger one.
 	keepAlivesDisabled atomic.Bool               // Responses close their connections.
 	shuttingDown       atomic.Bool               // Idle connections are closed.
 	shutdownStarted    atomic.Pointer[time.Time] // When shuttingDown was set.
@@ -120,6 +129,10 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Memory <= 0 {
+		c.Memory = defaultMemory
+	}
+	bodyMemory := int64(bodyFraction * float64(c.Memory))
 	s := &Server{
 		config: c,
 		logger: log.With(c.Logger, "part", "front"),
@@ -129,7 +142,12 @@
 		}),
 		openConns:  metrics.GetOrRegisterGauge("front-connections", c.Metrics),
 		accepted:   metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
+		noMemory:   metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
+		bodyMemory: semaphore.NewWeighted(bodyMemory),
 		conns:      map[*conn]struct{}{},
+
+		maxBodyBytes: bodyMemory/2 - 1,
+
 		acceptDone: make(chan struct{}),
 	}
 	go func() {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -242,6 +242,7 @@
 		Listener: p.callers,
 		Handler:  handler.Serve,
 		Limits:   n.requestLimits,
+		Memory:   int64(s.MemoryMB) << 20,
 		Logger:   c.Logger,
 		Metrics:  c.Metrics,
 	})
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -204,6 +204,9 @@
 	if h.config.Draining() {
 		return j, newRefusal(steer.ReasonStopping, http.StatusServiceUnavailable, minRetryAfter)
 	}
+	if r.BodyRefused {
+		return j, newRefusal(steer.ReasonMemory, http.StatusServiceUnavailable, addJitter(minRetryAfter))
+	}
 	if j.customer != nil {
 		if ok, wait := h.config.Quotas.Take(r.Arrived, j.customer.Name); !ok {
 			return j, newRefusal(steer.ReasonRate, http.StatusTooManyRequests, addJitter(wait))
--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -317,6 +317,25 @@
 	}
 }
 
+// Guards against requests that are sent without their body, which the host had no memory to read.
+func TestRequestWithoutItsBodyIsNotSent(t *testing.T) {
+	e := newTestEnv(t, 1, succeed)
+	response := e.handler.Serve(context.Background(), &front.Request{
+		Method:      http.MethodPost,
+		Target:      "/booking/1",
+		Host:        "h.example",
+		Path:        "/booking/1",
+		Header:      http.Header{"Id": {"id-1"}, "Key": {"small-key"}, "Deadline": {"2000"}},
+		HasBody:     true,
+		BodyRefused: true,
+		Arrived:     time.Now(),
+	})
+	assert.Equal(t, response.Status, http.StatusServiceUnavailable, "not 429: the quota is not used")
+	assert.Equal(t, string(response.Body), "no-memory not-run\n")
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(e.requests()), 0)
+}
+
 // Guards against requests that go on to a target after its answer has named a limit that this host may not use.
 func TestLimitInAnswerRefusesNextRequest(t *testing.T) {
 	e := newTestEnv(t, 1, func(n int, w http.ResponseWriter, r *http.Request) {
--- a/verdict.go
+++ b/verdict.go
@@ -52,7 +52,7 @@
 	ReasonIsolated      Reason = "isolated"       // The host lacks recent evidence that no key was withdrawn.
 	ReasonRate          Reason = "over-rate"      // The customer's quota has no token.
 	ReasonCapacity      Reason = "no-capacity"    // No capacity unit became free in time.
-	ReasonMemory        Reason = "no-memory"      // The memory reserved for answers is exhausted.
+	ReasonMemory        Reason = "no-memory"      // The memory for bodies of requests or answers is exhausted.
 	ReasonNoTarget      Reason = "no-target"      // No target can take the request.
 	ReasonTargetLimit   Reason = "target-limit"   // The targets that could take the request have named limits that are used up.
 	ReasonTicket        Reason = "bad-ticket"     // The ticket is malformed, forged or expired.
