Merge the doubled searches and lists of notes of place

Cause: the limits of targets brought copies of code that was there for observations: collecting and merging notes, and the search of the target that a key prefers.

Change: collect, target and preferred serve both. No behaviour changes: the tests of the package pass as before, with the race detector.

--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -190,17 +191,7 @@
 
 // Notes returns the observations of targets since the last call that other hosts need.
 func (p *Placer) Notes(now time.Time) []steer.TargetObservation {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var notes []steer.TargetObservation
-	for _, s := range p.services {
-		for _, t := range s.targets {
-			if note, ok := t.note(now); ok {
-				notes = append(notes, note)
-			}
-		}
-	}
-	return notes
+	return collect(p, func(t *targetState) (steer.TargetObservation, bool) { return t.note(now) })
 }
 
 // MergeNotes applies the notes of other hosts.
@@ -208,37 +199,49 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, note := range notes {
-		for _, s := range p.services {
-			if t := s.targets[note.Target]; t != nil {
-				t.merge(now, note)
-			}
+		for t := range p.target(note.Target) {
+			t.merge(now, note)
 		}
 	}
 }
 
 // LimitNotes returns the limits of targets that other hosts must learn.
 func (p *Placer) LimitNotes(now time.Time) []steer.LimitObservation {
+	return collect(p, func(t *targetState) (steer.LimitObservation, bool) { return t.limitNote(now) })
+}
+
+// MergeLimitNotes applies the limits that other hosts saw.
+func (p *Placer) MergeLimitNotes(now time.Time, notes []steer.LimitObservation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var notes []steer.LimitObservation
+	for _, note := range notes {
+		for t := range p.target(note.Target) {
+			t.mergeLimit(now, note)
+		}
+	}
+}
+
+// collect returns the notes of all targets that have one.
+func collect[N any](p *Placer, note func(t *targetState) (N, bool)) []N {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var notes []N
 	for _, s := range p.services {
 		for _, t := range s.targets {
-			if note, ok := t.limitNote(now); ok {
-				notes = append(notes, note)
+			if n, ok := note(t); ok {
+				notes = append(notes, n)
 			}
 		}
 	}
 	return notes
 }
 
-// MergeLimitNotes applies the limits that other hosts saw.
-func (p *Placer) MergeLimitNotes(now time.Time, notes []steer.LimitObservation) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, note := range notes {
+// target yields what is known of the target with an ID, by service. The caller holds the mutex.
+func (p *Placer) target(id string) iter.Seq[*targetState] {
+	return func(yield func(*targetState) bool) {
 		for _, s := range p.services {
-			if t := s.targets[note.Target]; t != nil {
-				t.mergeLimit(now, note)
+			if t := s.targets[id]; t != nil && !yield(t) {
+				return
 			}
 		}
 	}
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -315,17 +315,14 @@
 // request. Their own objects do not use up the limits, because a limit is shared by a few hosts only. An object that is not
 // cached costs such a target no more than it allows for.
 func (s *service) spareLimited(now time.Time, request Request, hash uint64, region string) *targetState {
-	var best *targetState
-	maxWeight := uint64(0)
-	for t := range s.usable(now, request, func(other string) bool { return other == region }) {
-		if t.limit == nil || t.loadPerSlot(now) >= maxOverflowLoad || s.full(t) {
-			continue
-		}
-		if weight := mix(hash ^ t.idHash); best == nil || weight > maxWeight {
-			best, maxWeight = t, weight
+	inRegion := s.usable(now, request, func(other string) bool { return other == region })
+	return preferred(hash, func(yield func(*targetState) bool) {
+		for t := range inRegion {
+			if t.limit != nil && t.loadPerSlot(now) < maxOverflowLoad && !s.full(t) && !yield(t) {
+				return
+			}
 		}
-	}
-	return best
+	})
 }
 
 // noTargetReason returns the reason for the refusal of a request that finds no usable target.
@@ -362,12 +359,16 @@
 	return best
 }
 
-// home returns the target that a key prefers among the usable ones of some regions, by highest random weight (rendezvous
-// hashing). It returns nil if none is usable.
+// home returns the target that a key prefers among the usable ones of some regions. It returns nil if none is usable.
 func (s *service) home(now time.Time, request Request, hash uint64, inRegion func(region string) bool) *targetState {
+	return preferred(hash, s.usable(now, request, inRegion))
+}
+
+// preferred returns the target that a key prefers, by highest random weight (rendezvous hashing), or nil if there is none.
+func preferred(hash uint64, targets iter.Seq[*targetState]) *targetState {
 	var best *targetState
 	maxWeight := uint64(0)
-	for t := range s.usable(now, request, inRegion) {
+	for t := range targets {
 		if weight := mix(hash ^ t.idHash); best == nil || weight > maxWeight {
 			best, maxWeight = t, weight
 		}
