Test hundreds of hosts with limits where requests are refused

Change: the test sends requests for twice the limits of all targets, and a new row of the passing test for ten times, both with the stated bound of 0.75. The row with targets without limits stays.

--- a/internal/edge/place/limit_test.go
+++ b/internal/edge/place/limit_test.go
@@ -333,13 +333,18 @@
 	return float64(count) / (to - from).Seconds()
 }
 
+// limitAll gives all targets a limit between low and high requests per second.
+func limitAll(low, high float64) func(target int) float64 {
+	return func(target int) float64 { return low + (high-low)*float64(target%7)/6 }
+}
+
 // limitSevenInTen gives seven in ten targets a limit between low and high requests per second.
 func limitSevenInTen(low, high float64) func(target int) float64 {
 	return func(target int) float64 {
 		if target%10 >= 7 {
 			return 0
 		}
-		return low + (high-low)*float64(target%7)/6
+		return limitAll(low, high)(target)
 	}
 }
 
@@ -424,6 +429,7 @@
 		{name: "12 hosts", day: limitDay{hosts: 12, targets: 24, rate: 800, limit: limitSevenInTen(9, 18)}, used: minLimitsUsed},
 		{name: "72 hosts", day: limitDay{hosts: 72, targets: 120, rate: 4000, limit: limitSevenInTen(1, 3)}, used: minLimitsUsed},
 		{name: "300 hosts", day: limitDay{hosts: 300, targets: 90, rate: 3000, limit: limitSevenInTen(0.5, 2)}, used: 0.5},
+		{name: "300 hosts, all limited", day: limitDay{hosts: 300, targets: 90, rate: 1120, limit: limitAll(0.5, 2)}, used: minLimitsUsed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -433,9 +439,10 @@
 	}
 }
 
-// Guards against targets with a limit that stay idle because few requests arrive at the few hosts that may send to them.
+// Guards against targets with a limit that stay idle because few requests arrive at the few hosts that may send to them. Load:
+// requests for twice the limits of all targets.
 func TestTargetsOfHundredsOfHostsAreUsedUpToTheirLimits(t *testing.T) {
-	used := limitsUsed(t, limitDay{hosts: 300, targets: 90, rate: 3000, limit: limitSevenInTen(0.5, 2)})
+	used := limitsUsed(t, limitDay{hosts: 300, targets: 90, rate: 224, limit: limitAll(0.5, 2)})
 	assert.Assert(t, used >= minLimitsUsed, "used %.2f of all limits", used)
 }
 
