--- a/internal/quota/share/share_test.go
+++ b/internal/quota/share/share_test.go
@@ -43,6 +43,7 @@
 	admittedAt  []time.Time
 	refused     int
 	requested   int
+	observe     func(admitted bool) // Called for each request; nil for none.
 }
 
 type message struct {
@@ -122,7 +123,11 @@
 			}
 			for f.due[host] += demand(host) * tick.Seconds(); f.due[host] >= 1; f.due[host]-- {
 				f.requested++
-				if ok, wait := table.Take(f.now, customer); ok {
+				ok, wait := table.Take(f.now, customer)
+				if f.observe != nil {
+					f.observe(ok)
+				}
+				if ok {
 					f.admittedAt = append(f.admittedAt, f.now)
 				} else {
 					assert.Assert(f.t, wait >= 0)
