Drop expired targets at once

Callers saw: requests to a target that had left, for up to 1.2 s longer than entries are kept after a cut.

Cause: after an outage a removed target is kept for 2.2 s, since its registration may only have lapsed. A host that follows changes relayed by another one dropped the expired entry from its table while it waited, but published the new view only if a further entry waited. The target stayed in use until the next relayed change or answer, up to 1.2 s later.

Change: dropping an entry publishes the view, while waiting and before a watch.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -217,13 +217,22 @@
 	if !until.After(now) {
 		return time.Time{}
 	}
-	if next := f.table.expire(now); !next.IsZero() && next.Before(until) {
+	if next := f.dropExpired(now); !next.IsZero() && next.Before(until) {
 		until = next.Add(time.Millisecond)
-		f.publish()
 	}
 	return until
 }
 
+// dropExpired drops lapsed entries that did not come back in time, and publishes the view if there were any. It returns when
+// to call it next, zero if no entry is waiting. The caller holds mu.
+func (f *Follower) dropExpired(now time.Time) time.Time {
+	next, dropped := f.table.expire(now)
+	if dropped {
+		f.publish()
+	}
+	return next
+}
+
 func (f *Follower) run(ctx context.Context) {
 	started, listed := false, false
 	pause := minRetryDelay
@@ -322,7 +331,7 @@
 func (f *Follower) watch(ctx context.Context, wait time.Duration) (int, error) {
 	now := time.Now()
 	f.mu.Lock()
-	if next := f.table.expire(now); !next.IsZero() {
+	if next := f.dropExpired(now); !next.IsZero() {
 		wait = min(wait, next.Sub(now)+time.Millisecond)
 	}
 	after := f.revision
--- a/internal/edge/belief/relay_test.go
+++ b/internal/edge/belief/relay_test.go
@@ -121,6 +121,32 @@
 	})
 }
 
+// Guards against a host that uses relayed changes and goes on sending to a target whose kept entry has expired.
+func TestExpiredTargetIsDroppedAtOnce(t *testing.T) {
+	const drain = 2500 * time.Millisecond // A drain must be in effect this long after the platform acknowledged it.
+	for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 100 * time.Millisecond {
+		runHostPair(t, func(platform *fakeCatalog, _, second *countingCatalog, connect func(bool), view func() *belief.View) {
+			second.denied.Store(true)
+			connect(false)
+			for view().Reachable {
+				time.Sleep(10 * time.Millisecond)
+			}
+			connect(true)
+			for !view().Reachable {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(phase)
+			platform.put(removedFact("targets/a", 0))
+			removedAt := time.Now()
+			for len(view().Targets) > 0 && time.Since(removedAt) < 10*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Logf("phase %v: dropped after %v", phase, time.Since(removedAt))
+			assert.Check(t, time.Since(removedAt) <= drain, "phase %v: dropped after %v", phase, time.Since(removedAt))
+		})
+	}
+}
+
 // panickingCatalog panics in the first listing and in the first watch.
 type panickingCatalog struct {
 	*fakeCatalog
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -169,20 +169,21 @@
 	t.removedRevisions[key] = revision
 }
 
-// expire drops lapsed entries that did not come back in time. It returns when to call it next, zero if no entry is waiting.
-func (t *table) expire(now time.Time) time.Time {
-	var next time.Time
+// expire drops lapsed entries that did not come back in time, and reports whether there were any. It returns when to call it
+// next, zero if no entry is waiting.
+func (t *table) expire(now time.Time) (next time.Time, dropped bool) {
 	for key, at := range t.lapseDeadlines {
 		if !at.After(now) {
 			delete(t.lapseDeadlines, key)
 			delete(t.facts, key)
+			dropped = true
 			continue
 		}
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
-	return next
+	return next, dropped
 }
 
 // markReachable records a successful call, and reports whether the platform was not reachable before.
--- /dev/null
+++ b/internal/edge/node/fleet_test.go
@@ -0,0 +1,253 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/node"
+)
+
+const (
+	// changeLimit is the time within which a change is in force at hosts that reach the platform (goal of docs/design.md,
+	// section 1).
+	changeLimit = 2 * time.Second
+
+	// contactLimit is the same for hosts that have just lost or regained the platform. It is contact-s of the platform's pages.
+	contactLimit = 3 * time.Second
+)
+
+// separableCatalog is the catalog as one host reaches it.
+type separableCatalog struct {
+	*catalog
+	separated *atomic.Bool // All calls of the host fail.
+}
+
+func (c separableCatalog) List(ctx context.Context) ([]steer.Fact, uint64, error) {
+	if c.separated.Load() {
+		return nil, 0, steer.ErrDown
+	}
+	return c.catalog.List(ctx)
+}
+
+func (c separableCatalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+	if c.separated.Load() {
+		return nil, 0, steer.ErrDown
+	}
+	facts, revision, err := c.catalog.Changes(ctx, after, wait)
+	if c.separated.Load() {
+		return nil, 0, steer.ErrDown
+	}
+	return facts, revision, err
+}
+
+func (c separableCatalog) Renew(ctx context.Context, lease steer.LeaseID) error {
+	if c.separated.Load() {
+		return steer.ErrDown
+	}
+	return c.catalog.Renew(ctx, lease)
+}
+
+// fleetHost is one host of a nodeFleet, with a caller that keeps its connection open.
+type fleetHost struct {
+	address    netip.AddrPort
+	dataCentre string
+	client     *http.Client
+	node       *node.Node
+	separated  *atomic.Bool
+}
+
+// nodeFleet runs two hosts in each of three data centres.
+type nodeFleet struct {
+	catalog *catalog
+	hosts   []*fleetHost
+}
+
+func newNodeFleet(t *testing.T) *nodeFleet {
+	t.Helper()
+	f := &nodeFleet{
+		catalog: newCatalog(t, 0),
+	}
+	var ready []func() bool
+	for i, dataCentre := range []string{"golfo-a", "golfo-a", "golfo-b", "golfo-b", "pacifico-a", "pacifico-a"} {
+		h := &fleetHost{
+			dataCentre: dataCentre,
+			client: &http.Client{
+				Transport: &http.Transport{},
+				Timeout:   2 * time.Second,
+			},
+			separated: &atomic.Bool{},
+		}
+		region := map[string]string{"golfo-a": "golfo", "golfo-b": "golfo", "pacifico-a": "pacifico"}[dataCentre]
+		n, funcs, settings := newHost(t, fmt.Sprint("host-", i), dataCentre, region, separableCatalog{
+			catalog:   f.catalog,
+			separated: h.separated,
+		})
+		h.address, h.node = settings.Listen, n
+		f.hosts = append(f.hosts, h)
+		ready = append(ready, funcs.ready)
+	}
+	t.Cleanup(f.shutDown)
+	waitUntil(t, "all hosts serve", func() bool {
+		for i, h := range f.hosts {
+			if !ready[i]() || h.request() != "200 done naviera" {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *nodeFleet) shutDown() {
+	var wait sync.WaitGroup
+	for _, h := range f.hosts {
+		h.client.CloseIdleConnections()
+		wait.Go(func() { _ = h.node.Shutdown(context.Background()) }) // Other tests check how hosts stop.
+	}
+	wait.Wait()
+}
+
+// request returns the status and the body of the response to a request at the host, or the error.
+func (h *fleetHost) request() string {
+	status, body, err := book(h.client, h.address)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(status, " ", body)
+}
+
+// checkAll checks the responses of all hosts for one second. Each must begin with the given text.
+func (f *nodeFleet) checkAll(t *testing.T, want string) {
+	t.Helper()
+	var wait sync.WaitGroup
+	for _, h := range f.hosts {
+		wait.Go(func() {
+			failed, all, last := 0, 0, ""
+			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				all++
+				if got := h.request(); !strings.HasPrefix(got, want) {
+					failed++
+					last = got
+				}
+			}
+			assert.Check(t, failed == 0, "%s in %s: %d of %d responses, such as %q", h.address, h.dataCentre, failed, all, last)
+		})
+	}
+	wait.Wait()
+}
+
+// separations are the ways in which hosts cannot reach the platform when a change is made.
+var separations = []struct {
+	name      string
+	separates func(i int, h *fleetHost) bool
+	returns   bool // The hosts reach the platform again after the change.
+	limit     time.Duration
+}{
+	{
+		name:      "all hosts reach the platform",
+		separates: func(int, *fleetHost) bool { return false },
+		limit:     changeLimit,
+	},
+	{
+		name:      "one host of each data centre does",
+		separates: func(i int, _ *fleetHost) bool { return i%2 == 0 },
+		limit:     contactLimit,
+	},
+	{
+		name:      "a data centre is back",
+		separates: func(_ int, h *fleetHost) bool { return h.dataCentre == "golfo-b" },
+		returns:   true,
+		limit:     contactLimit,
+	},
+}
+
+// Guards against a withdrawn key that is accepted on open connections after other hosts have learned of it.
+func TestWithdrawnKeyIsRefusedByAllHosts(t *testing.T) {
+	for _, c := range separations {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newNodeFleet(t)
+			for i, h := range f.hosts {
+				h.separated.Store(c.separates(i, h))
+			}
+			time.Sleep(time.Second) // The other hosts of the data centres take over.
+			plan := *f.catalog.facts["plan"].Plan
+			plan.Version++
+			plan.Customers = []steer.PlanCustomer{{
+				Name: "naviera",
+			}}
+			f.catalog.put(steer.Fact{
+				Key:  "plan",
+				Plan: &plan,
+			})
+			if c.returns {
+				time.Sleep(500 * time.Millisecond)
+				for _, h := range f.hosts {
+					h.separated.Store(false)
+				}
+			}
+			time.Sleep(c.limit)
+			f.checkAll(t, "401")
+		})
+	}
+}
+
+// Guards against a target that has left and gets new requests from hosts that learn of it late.
+func TestTargetThatLeavesGetsNoNewWork(t *testing.T) {
+	for _, c := range separations {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newNodeFleet(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			other := &http.Server{
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Signature", "s")
+					w.Header().Set("Id", r.Header.Get("Id"))
+					_, _ = io.WriteString(w, "other")
+				}),
+			}
+			go func() { _ = other.Serve(listener) }()
+			t.Cleanup(func() { assert.NilError(t, other.Close()) })
+			f.catalog.put(steer.Fact{
+				Key: "targets/2",
+				Endpoint: &steer.Endpoint{
+					ID:         "target-2",
+					Service:    "reservas",
+					Address:    netip.MustParseAddrPort(listener.Addr().String()),
+					DataCentre: "golfo-a",
+					Slots:      9,
+				},
+			})
+			waitUntil(t, "some requests go to the second target", func() bool { return f.hosts[0].request() == "200 other" })
+			for i, h := range f.hosts {
+				h.separated.Store(c.separates(i, h))
+			}
+			time.Sleep(time.Second) // The other hosts of the data centres take over.
+			f.catalog.put(steer.Fact{
+				Key:     "targets/1",
+				Removed: true,
+			})
+			if c.returns {
+				time.Sleep(500 * time.Millisecond)
+				for _, h := range f.hosts {
+					h.separated.Store(false)
+				}
+			}
+			time.Sleep(c.limit)
+			f.checkAll(t, "200 other")
+		})
+	}
+}
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,15 +137,21 @@
 	ready  func() bool
 }
 
+// lastAddress numbers the loopback addresses that freePort has returned.
+var lastAddress atomic.Uint32
+
+// freePort returns a port of a loopback address of its own, which no other host and no outgoing connection takes meanwhile.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := lastAddress.Add(1)
+	address := netip.AddrFrom4([4]byte{127, 1, byte(n >> 8), byte(n)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(address, 0).String())
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-func newHost(t *testing.T, id, dataCentre, region string, c *catalog) (*node.Node, *platformFuncs, setup.Settings) {
+func newHost(t *testing.T, id, dataCentre, region string, c steer.Catalog) (*node.Node, *platformFuncs, setup.Settings) {
 	t.Helper()
 	s := setup.Settings{
 		HostID:              id,
