Free the body of a request with its memory

The memory of a body was free when its handler had returned, but the body stayed with the request while earlier responses of the connection were written, for up to 16 requests that a caller sends ahead. A panic while a body is read kept its memory for good.

No test of its own shows the first two.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -55,38 +55,35 @@
 	b.data, b.reserved = nil, 0
 }
 
-// readBody reads the whole body of a request. After errNoMemory, an unknown part of the body has been read. The memory of
-// the body must be released in any case.
-func (c *conn) readBody(r *http.Request, limits steer.RequestLimits) (*requestBody, error) {
-	b := &requestBody{
-		server: c.server,
-	}
+// readBody reads the whole body of a request into b, which must be released in any case. After errNoMemory, an unknown part of
+// the body has been read.
+func (c *conn) readBody(b *requestBody, r *http.Request, limits steer.RequestLimits) error {
 	if r.ContentLength == 0 {
-		return b, nil
+		return nil
 	}
 	maxBytes := min(limits.BodyBytes, c.server.maxBodyBytes)
 	if r.ContentLength > maxBytes {
-		return b, errBodyTooLarge
+		return errBodyTooLarge
 	}
 	size := r.ContentLength
 	if size < 0 {
 		size = maxBytes + 1 // One byte more tells whether the body is larger.
 	}
 	if err := b.grow(min(size, firstBodyBytes)); err != nil {
-		return b, err
+		return err
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return b, err
+			return err
 		}
 	}
 	if err := b.read(r, size); err != nil {
-		return b, err
+		return err
 	}
 	if int64(len(b.data)) > maxBytes {
-		return b, errBodyTooLarge
+		return errBodyTooLarge
 	}
-	return b, nil
+	return nil
 }
 
 // read reads the body until its end or until it has the given size.
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -88,7 +88,7 @@
 }
 
 // readRequest reads one request with its whole body.
-func (c *conn) readRequest() (*exchange, error) {
+func (c *conn) readRequest() (e *exchange, err error) {
 	limits := c.server.limits()
 	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return nil, err
@@ -103,13 +103,21 @@
 	if err != nil {
 		return nil, classifyReadError(err)
 	}
-	body, err := c.readBody(r, limits)
+	body := &requestBody{
+		server: c.server,
+	}
+	defer func() {
+		if e == nil { // Also after a panic.
+			body.release()
+		}
+	}()
+	err = c.readBody(body, r, limits)
 	bodyRefused := errors.Is(err, errNoMemory)
-	if err != nil {
+	switch {
+	case bodyRefused:
 		body.release()
-		if !bodyRefused {
-			return nil, err
-		}
+	case err != nil:
+		return nil, err
 	}
 	requestTarget := r.RequestURI
 	if !strings.HasPrefix(requestTarget, "/") {
@@ -247,6 +255,7 @@
 			Status: http.StatusBadGateway,
 		}
 		c.server.guard.Do("handler", func() { r = c.server.config.Handler(c.ctx, e.request) })
+		e.request.Body = nil // The exchange waits in the queue until earlier responses are written.
 		e.body.release()
 		c.mu.Lock()
 		e.response = &r
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -140,15 +140,13 @@
 			Logger:  c.Logger,
 			Metrics: c.Metrics,
 		}),
-		openConns:  metrics.GetOrRegisterGauge("front-connections", c.Metrics),
-		accepted:   metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
-		noMemory:   metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
-		bodyMemory: semaphore.NewWeighted(bodyMemory),
-		conns:      map[*conn]struct{}{},
-
+		openConns:    metrics.GetOrRegisterGauge("front-connections", c.Metrics),
+		accepted:     metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
+		noMemory:     metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
+		bodyMemory:   semaphore.NewWeighted(bodyMemory),
 		maxBodyBytes: bodyMemory/2 - 1,
-
-		acceptDone: make(chan struct{}),
+		conns:        map[*conn]struct{}{},
+		acceptDone:   make(chan struct{}),
 	}
 	go func() {
 		defer close(s.acceptDone)
