Test that replacing all hosts of a platform fleet cuts no request

Change: six nodes in three data centres are replaced one after the other while eight callers look hosts up and send bookings over connections that they keep. A refused connection is no cut, since nothing was sent; any other error is.

Nothing of the product changed.

--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,6 +67,7 @@
 	dataCentre string
 	client     *http.Client
 	node       *node.Node
+	funcs      *platformFuncs
 	separated  *atomic.Bool
 }
 
@@ -79,29 +82,13 @@
 	f := &nodeFleet{
 		catalog: newCatalog(t, 0),
 	}
-	var ready []func() bool
+	t.Cleanup(f.shutDown)
 	for i, dataCentre := range []string{"golfo-a", "golfo-a", "golfo-b", "golfo-b", "pacifico-a", "pacifico-a"} {
-		h := &fleetHost{
-			dataCentre: dataCentre,
-			client: &http.Client{
-				Transport: &http.Transport{},
-				Timeout:   2 * time.Second,
-			},
-			separated: &atomic.Bool{},
-		}
-		region := map[string]string{"golfo-a": "golfo", "golfo-b": "golfo", "pacifico-a": "pacifico"}[dataCentre]
-		n, funcs, settings := newHost(t, fmt.Sprint("host-", i), dataCentre, region, separableCatalog{
-			catalog:   f.catalog,
-			separated: h.separated,
-		})
-		h.address, h.node = settings.Listen, n
-		f.hosts = append(f.hosts, h)
-		ready = append(ready, funcs.ready)
+		f.hosts = append(f.hosts, f.startHost(t, fmt.Sprint("host-", i), dataCentre))
 	}
-	t.Cleanup(f.shutDown)
 	waitUntil(t, "all hosts serve", func() bool {
-		for i, h := range f.hosts {
-			if !ready[i]() || h.request() != "200 done naviera" {
+		for _, h := range f.hosts {
+			if !h.funcs.ready() || h.request() != "200 done naviera" {
 				return false
 			}
 		}
@@ -110,6 +97,25 @@
 	return f
 }
 
+func (f *nodeFleet) startHost(t *testing.T, id, dataCentre string) *fleetHost {
+	t.Helper()
+	h := &fleetHost{
+		dataCentre: dataCentre,
+		client: &http.Client{
+			Transport: &http.Transport{},
+			Timeout:   2 * time.Second,
+		},
+		separated: &atomic.Bool{},
+	}
+	region := map[string]string{"golfo-a": "golfo", "golfo-b": "golfo", "pacifico-a": "pacifico"}[dataCentre]
+	n, funcs, settings := newHost(t, id, dataCentre, region, separableCatalog{
+		catalog:   f.catalog,
+		separated: h.separated,
+	})
+	h.address, h.node, h.funcs = settings.Listen, n, funcs
+	return h
+}
+
 func (f *nodeFleet) shutDown() {
 	var wait sync.WaitGroup
 	for _, h := range f.hosts {
@@ -251,3 +257,65 @@
 		})
 	}
 }
+
+// Guards against requests that are cut while all hosts are replaced one after the other under load.
+func TestRollingReplacementCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newNodeFleet(t)
+	var mu sync.Mutex // Guards f.hosts while the load runs.
+	pick := func(n int) *fleetHost {
+		mu.Lock()
+		defer mu.Unlock()
+		return f.hosts[n%len(f.hosts)]
+	}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	var answered atomic.Int64
+	for worker := range 8 {
+		client := &http.Client{
+			Transport: &http.Transport{},
+			Timeout:   3 * time.Second,
+		}
+		t.Cleanup(client.CloseIdleConnections)
+		wait.Go(func() {
+			for n := worker; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(3 * time.Millisecond):
+				}
+				list, _ := pick(n).funcs.lookup("h.example", "golfo", dataCentreOf(n))
+				for _, address := range list {
+					status, _, err := book(client, address)
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						continue // The host has stopped, and no request was sent.
+					}
+					if err != nil {
+						t.Errorf("request was cut: %v", err)
+						return
+					}
+					if status == http.StatusOK {
+						answered.Add(1)
+					}
+					break
+				}
+			}
+		})
+	}
+	for i := range f.hosts {
+		old := pick(i)
+		replacement := f.startHost(t, fmt.Sprint("replacement-", i), old.dataCentre)
+		waitUntil(t, "the replacement is ready", replacement.funcs.ready)
+		mu.Lock()
+		f.hosts[i] = replacement
+		mu.Unlock()
+		assert.NilError(t, old.node.Shutdown(context.Background()))
+	}
+	close(stop)
+	wait.Wait()
+	t.Logf("%d requests answered", answered.Load())
+	assert.Assert(t, answered.Load() > 0)
+}
+
+// dataCentreOf spreads callers over the data centres.
+func dataCentreOf(n int) string { return []string{"golfo-a", "golfo-b", "pacifico-a"}[n%3] }
