Refuse paths with dot segments

Callers could: run a request of a route that needs a key without one. "/open/../query/x" begins with the prefix of an open route, so it was sent without a key, and a target that resolves the path runs "/query/x".

Change: a path with a segment "." or "..", percent-decoded or not, has no route: 404, not sent.

--- a/internal/edge/index/index.go
+++ b/internal/edge/index/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -79,8 +80,12 @@
 }
 
 // Route returns the route of a host with the longest prefix of a path, and nil if there is none. The host is compared
-// without regard to case, and may have a port.
+// without regard to case, and may have a port. A path with a dot segment has no route: a target could resolve it to the path of
+// another route, which needs a key that this one does not need.
 func (x *Index) Route(host, path string) *steer.PlanRoute {
+	if hasDotSegment(path) {
+		return nil
+	}
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
@@ -92,6 +97,19 @@
 	return nil
 }
 
+// hasDotSegment reports whether a path, as it is or percent-decoded, has a segment "." or "..".
+func hasDotSegment(path string) bool {
+	if decoded, err := url.PathUnescape(path); err == nil {
+		path = decoded
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // Customer returns the customer that holds a key, and nil if there is none or the key is empty.
 func (x *Index) Customer(key string) *steer.PlanCustomer {
 	if key == "" {
--- a/internal/edge/index/index_test.go
+++ b/internal/edge/index/index_test.go
@@ -39,6 +39,12 @@
 		{host: "h.example:8080", path: "/a/b", want: "a"},
 		{host: "H.EXAMPLE", path: "/a/b/c", want: "ab"},
 		{host: "other.example", path: "/a/", want: ""},
+		{host: "h.example", path: "/a/../b", want: ""},
+		{host: "h.example", path: "/a/.", want: ""},
+		{host: "h.example", path: "/a/%2e%2E/b", want: ""},
+		{host: "h.example", path: "/a/..%2fb", want: ""},
+		{host: "h.example", path: "/a/.b/..c/d..", want: "a"},
+		{host: "h.example", path: "/a/%zz", want: "a"},
 	} {
 		got := ""
 		if r := x.Route(c.host, c.path); r != nil {
--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -41,7 +41,7 @@
 
 // testEnv is a handler with targets that behave as a test specifies.
 type testEnv struct {
-	t        *testing.T
+	t        testing.TB
 	config   pass.Config
 	handler  *pass.Handler
 	view     *belief.View
@@ -74,7 +74,7 @@
 
 func hang(_ int, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
-func newTestEnv(t *testing.T, targets int, b behaviour) *testEnv {
+func newTestEnv(t testing.TB, targets int, b behaviour) *testEnv {
 	t.Helper()
 	e := &testEnv{
 		t: t,
