Test that hosts without the platform close gaps in relayed changes

Callers see: a host that is cut off from the platform accepts a withdrawn key and sends to a target that has left, until it reaches the platform again, although another host of its data centre relays all changes.

Cause, traced: a relayed message says from which revision it continues. A host that has missed one drops all that follow and watches the platform at once, which it cannot reach.

Relays that repeat the last changes would close small gaps, but not one with a large plan; the host has to ask for what it misses.

--- a/internal/edge/belief/relay_test.go
+++ b/internal/edge/belief/relay_test.go
@@ -121,6 +121,21 @@
 	})
 }
 
+// Guards against a host without the platform that misses all changes after one relayed message was lost.
+func TestDeniedHostClosesGapInRelayedChanges(t *testing.T) {
+	const bound = 2500 * time.Millisecond // A drain must be in effect this long after the platform acknowledged it.
+	runHostPair(t, func(platform *fakeCatalog, _, second *countingCatalog, connect func(bool), view func() *belief.View) {
+		second.denied.Store(true)
+		connect(false)
+		platform.put(targetFact("b", 0, false)) // Lost on the way to the second host.
+		time.Sleep(400 * time.Millisecond)
+		connect(true)
+		platform.put(planFact(7, 0))
+		time.Sleep(bound)
+		assert.Equal(t, view().Index.Plan.Version, uint64(7))
+	})
+}
+
 // Guards against a host that uses relayed changes and goes on sending to a target whose kept entry has expired.
 func TestExpiredTargetIsDroppedAtOnce(t *testing.T) {
 	const drain = 2500 * time.Millisecond // A drain must be in effect this long after the platform acknowledged it.
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -154,23 +154,21 @@
 	wait.Wait()
 }
 
-// separations are the ways in which hosts cannot reach the platform when a change is made.
-var separations = []struct {
+// separation is a way in which hosts cannot reach the platform when a change is made.
+type separation struct {
 	name      string
 	separates func(i int, h *fleetHost) bool
 	returns   bool // The hosts reach the platform again after the change.
 	limit     time.Duration
-}{
+}
+
+// separations are the ways in which all hosts reach the platform in the end.
+var separations = []separation{
 	{
 		name:      "all hosts reach the platform",
 		separates: func(int, *fleetHost) bool { return false },
 		limit:     changeLimit,
 	},
-	{
-		name:      "one host of each data centre does",
-		separates: func(i int, _ *fleetHost) bool { return i%2 == 0 },
-		limit:     contactLimit,
-	},
 	{
 		name:      "a data centre is back",
 		separates: func(_ int, h *fleetHost) bool { return h.dataCentre == "golfo-b" },
@@ -179,85 +177,101 @@
 	},
 }
 
+// relayed is the separation in which one host of each data centre depends on the changes that the other one relays.
+var relayed = separation{
+	separates: func(i int, _ *fleetHost) bool { return i%2 == 0 },
+	limit:     contactLimit,
+}
+
+// change makes a change while hosts are separated, and waits for the time within which it must be in force.
+func (f *nodeFleet) change(s separation, fact steer.Fact) {
+	for i, h := range f.hosts {
+		h.separated.Store(s.separates(i, h))
+	}
+	time.Sleep(time.Second) // The other hosts of the data centres take over.
+	f.catalog.put(fact)
+	if s.returns {
+		time.Sleep(500 * time.Millisecond)
+		for _, h := range f.hosts {
+			h.separated.Store(false)
+		}
+	}
+	time.Sleep(s.limit)
+}
+
+func checkWithdrawnKey(t *testing.T, s separation) {
+	t.Helper()
+	f := newNodeFleet(t)
+	plan := *f.catalog.facts["plan"].Plan
+	plan.Version++
+	plan.Customers = []steer.PlanCustomer{{
+		Name: "naviera",
+	}}
+	f.change(s, steer.Fact{
+		Key:  "plan",
+		Plan: &plan,
+	})
+	f.checkAll(t, "401")
+}
+
+func checkTargetThatLeaves(t *testing.T, s separation) {
+	t.Helper()
+	f := newNodeFleet(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	other := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signature", "s")
+			w.Header().Set("Id", r.Header.Get("Id"))
+			_, _ = io.WriteString(w, "other")
+		}),
+	}
+	go func() { _ = other.Serve(listener) }()
+	t.Cleanup(func() { assert.NilError(t, other.Close()) })
+	f.catalog.put(steer.Fact{
+		Key: "targets/2",
+		Endpoint: &steer.Endpoint{
+			ID:         "target-2",
+			Service:    "reservas",
+			Address:    netip.MustParseAddrPort(listener.Addr().String()),
+			DataCentre: "golfo-a",
+			Slots:      9,
+		},
+	})
+	waitUntil(t, "some requests go to the second target", func() bool { return f.hosts[0].request() == "200 other" })
+	f.change(s, steer.Fact{
+		Key:     "targets/1",
+		Removed: true,
+	})
+	f.checkAll(t, "200 other")
+}
+
 // Guards against a withdrawn key that is accepted on open connections after other hosts have learned of it.
 func TestWithdrawnKeyIsRefusedByAllHosts(t *testing.T) {
-	for _, c := range separations {
-		t.Run(c.name, func(t *testing.T) {
+	for _, s := range separations {
+		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
-			f := newNodeFleet(t)
-			for i, h := range f.hosts {
-				h.separated.Store(c.separates(i, h))
-			}
-			time.Sleep(time.Second) // The other hosts of the data centres take over.
-			plan := *f.catalog.facts["plan"].Plan
-			plan.Version++
-			plan.Customers = []steer.PlanCustomer{{
-				Name: "naviera",
-			}}
-			f.catalog.put(steer.Fact{
-				Key:  "plan",
-				Plan: &plan,
-			})
-			if c.returns {
-				time.Sleep(500 * time.Millisecond)
-				for _, h := range f.hosts {
-					h.separated.Store(false)
-				}
-			}
-			time.Sleep(c.limit)
-			f.checkAll(t, "401")
+			checkWithdrawnKey(t, s)
 		})
 	}
 }
 
 // Guards against a target that has left and gets new requests from hosts that learn of it late.
 func TestTargetThatLeavesGetsNoNewWork(t *testing.T) {
-	for _, c := range separations {
-		t.Run(c.name, func(t *testing.T) {
+	for _, s := range separations {
+		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
-			f := newNodeFleet(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			other := &http.Server{
-				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					w.Header().Set("Signature", "s")
-					w.Header().Set("Id", r.Header.Get("Id"))
-					_, _ = io.WriteString(w, "other")
-				}),
-			}
-			go func() { _ = other.Serve(listener) }()
-			t.Cleanup(func() { assert.NilError(t, other.Close()) })
-			f.catalog.put(steer.Fact{
-				Key: "targets/2",
-				Endpoint: &steer.Endpoint{
-					ID:         "target-2",
-					Service:    "reservas",
-					Address:    netip.MustParseAddrPort(listener.Addr().String()),
-					DataCentre: "golfo-a",
-					Slots:      9,
-				},
-			})
-			waitUntil(t, "some requests go to the second target", func() bool { return f.hosts[0].request() == "200 other" })
-			for i, h := range f.hosts {
-				h.separated.Store(c.separates(i, h))
-			}
-			time.Sleep(time.Second) // The other hosts of the data centres take over.
-			f.catalog.put(steer.Fact{
-				Key:     "targets/1",
-				Removed: true,
-			})
-			if c.returns {
-				time.Sleep(500 * time.Millisecond)
-				for _, h := range f.hosts {
-					h.separated.Store(false)
-				}
-			}
-			time.Sleep(c.limit)
-			f.checkAll(t, "200 other")
+			checkTargetThatLeaves(t, s)
 		})
 	}
 }
 
+// Guards against hosts without the platform that miss all changes after one relayed message was lost.
+func TestRelayedChangesBindHostsWithoutPlatform(t *testing.T) {
+	t.Run("withdrawn key", func(t *testing.T) { checkWithdrawnKey(t, relayed) })
+	t.Run("target that leaves", func(t *testing.T) { checkTargetThatLeaves(t, relayed) })
+}
+
 // Guards against requests that are cut while all hosts are replaced one after the other under load.
 func TestRollingReplacementCutsNoRequest(t *testing.T) {
 	t.Parallel()
