Ignore changes older than the removal of a kept entry

Callers could: reach a target that had left, for good, after an outage of the platform.

Cause: the revision of a removal was remembered for entries that are dropped at once, not for those that are kept for 2.2 s after an outage. An older change of such an entry, in a late message of another host, brought it back and ended the wait for its end.

Change: every removal is remembered. A registration anew has a newer revision and is accepted as before.

--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -164,6 +164,28 @@
 			},
 			want: []string{"b"},
 		},
+		{
+			name: "an old change comes late while a lapsed entry is kept",
+			run: func(t belief.Table) {
+				t.MarkUnreachable(at(4))
+				t.MarkReachable(at(10))
+				t.Apply(at(10.1), removedFact("targets/a", 10))
+				t.Apply(at(10.2), targetFact("a", 9, false))
+				t.Expire(at(20))
+			},
+			want: []string{"b"},
+		},
+		{
+			name: "an old change comes late after a lapsed entry was dropped",
+			run: func(t belief.Table) {
+				t.MarkUnreachable(at(4))
+				t.MarkReachable(at(10))
+				t.Apply(at(10.1), removedFact("targets/a", 10))
+				t.Expire(at(20))
+				t.Apply(at(20), targetFact("a", 9, false))
+			},
+			want: []string{"b"},
+		},
 		{
 			name: "an entry that cannot be read names no target",
 			run: func(t belief.Table) {
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -158,6 +158,7 @@
 	if !ok {
 		return
 	}
+	t.removedRevisions[key] = max(t.removedRevisions[key], revision)
 	if known.Endpoint != nil && now.Sub(t.regainedAt) < lapseWindow {
 		if _, waiting := t.lapseDeadlines[key]; !waiting {
 			t.lapseDeadlines[key] = t.regainedAt.Add(reregisterGrace)
@@ -166,7 +167,6 @@
 	}
 	delete(t.facts, key)
 	delete(t.lapseDeadlines, key)
-	t.removedRevisions[key] = revision
 }
 
 // expire drops lapsed entries that did not come back in time, and reports whether there were any. It returns when to call it
