--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -56,9 +56,12 @@
 		return nil
 	}
 	now := time.Now() // Read under the mutex, so that no recorded message is later and ages do not shrink.
-	ownNotes := appendNotes(observedAt, nil, g.config.Host, notes)
-	ownLimits := limitTable{}
-	ownLimits.add(observedAt, limits)
+	for i := range notes {
+		notes[i].Age += now.Sub(observedAt)
+	}
+	for i := range limits {
+		limits[i].Age += now.Sub(observedAt)
+	}
 	g.round++
 	g.updateLinks(now)
 	g.report(now)
@@ -70,14 +73,14 @@
 		Emptied:           hint.Emptied,
 		Cold:              coldMillis(hint.Cold),
 	}
-	g.localNotes = appendNotes(observedAt, g.localNotes, g.config.Host, notes)
-	g.localLimits.add(observedAt, limits)
+	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
+	g.localLimits.add(now, limits)
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
-	m.Notes, m.RemoteNotes = toWireNotes(currentNotes(now, ownNotes)), toWireNotes(currentNotes(now, g.remoteNotes))
+	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
-	m.Limits, m.RemoteLimits = toWireLimits(ownLimits.list(now)), toWireLimits(g.remoteLimits.take(now))
+	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
