Share the random arrivals of the quota tests

Found by reading the change: moving_test.go wrote the generator of large_test.go again.

TestBusyHostPassesOnLimitsWithTheirAges named eight limits once each and waited for the last, so that one message that a newer one replaced would have failed it without a fault. The host names a new limit in each round, and the test waits for eight of any; each age is checked as before.

--- a/internal/peer/gossip/limits_test.go
+++ b/internal/peer/gossip/limits_test.go
@@ -121,9 +121,6 @@
 			Limits: func(time.Time) []steer.LimitObservation {
 				mu.Lock()
 				defer mu.Unlock()
-				if sent == rounds {
-					return nil
-				}
 				sent++
 				return []steer.LimitObservation{{
 					Target: fmt.Sprintf("i-%d", sent),
@@ -149,11 +146,10 @@
 		},
 	}
 	startHosts(t, configs)
-	last := fmt.Sprintf("i-%d", rounds)
 	waitUntil(t, func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return heard[last] != 0
+		return len(heard) >= rounds
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/internal/quota/share/large_test.go
+++ b/internal/quota/share/large_test.go
@@ -26,15 +26,23 @@
 	next := map[string]float64{}
 	return func(total float64) func(string) float64 {
 		return func(host string) float64 {
-			n := 0.0
-			for next[host] -= tick.Seconds(); next[host] < 0; next[host] += random.ExpFloat64() / (total / float64(hosts)) {
-				n++
-			}
-			return n / tick.Seconds()
+			var n float64
+			n, next[host] = arrivals(random, next[host], total/float64(hosts))
+			return n
 		}
 	}
 }
 
+// arrivals returns the rate of Poisson arrivals in one tick, given the seconds until the next arrival, and the seconds until the
+// next one after the tick.
+func arrivals(random *rand.Rand, next, rate float64) (float64, float64) {
+	n := 0.0
+	for next -= tick.Seconds(); next < 0; next += random.ExpFloat64() / rate {
+		n++
+	}
+	return n / tick.Seconds(), next
+}
+
 // Guards against admitting more than the quota of a customer when all hosts restart while it sends five times its rate,
 // because each host of a large fleet admits one request by chance. Load: 12 and 72 hosts, 26 requests a second, then 200.
 func TestQuotaHoldsWhileFleetStarts(t *testing.T) {
--- a/internal/quota/share/moving_test.go
+++ b/internal/quota/share/moving_test.go
@@ -53,11 +53,9 @@
 			if host != at {
 				return 0
 			}
-			n := 0.0
-			for next -= tick.Seconds(); next < 0; next += random.ExpFloat64() / (d.rate * d.load) {
-				n++
-			}
-			return n / tick.Seconds()
+			var n float64
+			n, next = arrivals(random, next, d.rate*d.load)
+			return n
 		})
 	}
 	return within, refused
