Name the era of the store beside its revisions in logs

Callers saw: answers by an old plan after the store returned from a copy. The logs named revisions but not the history they belong to, so they could not tell whether changes of the restored store were dropped as old or not read at all.

Nothing decides by it yet.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -83,7 +83,8 @@
 	fallbackUntil time.Time // End of the pause due to any relaying host; used only after a failed call of this host.
 	lastFailure   time.Time // When a call of this host last failed.
 	lastSnapshot  lastSnapshot
-	watching      bool // This host watches the platform itself. Used by the loop only.
+	watching      bool   // This host watches the platform itself. Used by the loop only.
+	watchedEra    uint64 // Era of the last answer to a watch. Used by the loop only.
 }
 
 // New starts a follower. Call Stop to end it.
@@ -294,11 +295,11 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	facts, revision, err := f.catalog.List(ctx)
+	facts, position, err := f.catalog.List(ctx)
 	if err != nil {
 		return err
 	}
-	changes, relisted := f.listed(facts, revision)
+	changes, relisted := f.listed(facts, position)
 	if relisted {
 		f.relay(changes) // Saves the other hosts of the data centre a listing.
 	}
@@ -306,24 +307,24 @@
 }
 
 // listed applies a listing. It returns what has changed, and reports whether the entries had been listed before.
-func (f *Follower) listed(facts []steer.Fact, revision uint64) (steer.Changes, bool) {
+func (f *Follower) listed(facts []steer.Fact, position steer.Position) (steer.Changes, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	relisted := f.table.listed
 	changes := steer.Changes{
 		From: f.revision,
-		To:   max(f.revision, revision),
+		To:   max(f.revision, position.Revision),
 	}
 	f.noteReached(now)
 	var problems []error
-	changes.Facts, problems = f.table.list(now, facts, revision)
+	changes.Facts, problems = f.table.list(now, facts, position.Revision)
 	f.logProblems(problems)
-	f.revision = max(f.revision, revision)
+	f.revision = max(f.revision, position.Revision)
 	f.publish()
 	f.awaitRelay(now)
-	_ = level.Info(f.logger).Log("msg", "Entries listed.", "entries", len(facts), "revision", revision,
-		"version", f.planVersion())
+	_ = level.Info(f.logger).Log("msg", "Entries listed.", "entries", len(facts), "era", position.Era,
+		"revision", position.Revision, "version", f.planVersion())
 	return changes, relisted
 }
 
@@ -336,21 +337,32 @@
 	}
 	after := f.revision
 	f.mu.Unlock()
-	facts, revision, err := f.catalog.Changes(ctx, after, wait)
+	facts, position, err := f.catalog.Changes(ctx, steer.Position{
+		Revision: after,
+	}, wait)
 	if err != nil {
 		return 0, err
 	}
+	f.logEra(position.Era)
 	f.relay(steer.Changes{
 		From:  after,
-		To:    revision,
+		To:    position.Revision,
 		Facts: facts,
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyChanges(time.Now(), facts, revision)
+	f.applyChanges(time.Now(), facts, position.Revision)
 	return len(facts), nil
 }
 
+// logEra logs the era of a watch if it is not that of the watch before.
+func (f *Follower) logEra(era uint64) {
+	if era != f.watchedEra {
+		_ = level.Info(f.logger).Log("msg", "Watch answered from another era.", "era", era, "before", f.watchedEra)
+	}
+	f.watchedEra = era
+}
+
 // applyChanges applies changes up to a revision and publishes the view. The caller holds mu.
 func (f *Follower) applyChanges(now time.Time, facts []steer.Fact, revision uint64) {
 	f.noteReached(now)
--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -308,39 +308,46 @@
 	change()
 }
 
-func (c *fakeCatalog) List(context.Context) ([]steer.Fact, uint64, error) {
+// position returns the latest position. The caller holds mu, or nothing changes.
+func (c *fakeCatalog) position() steer.Position {
+	return steer.Position{
+		Revision: c.revision,
+	}
+}
+
+func (c *fakeCatalog) List(context.Context) ([]steer.Fact, steer.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lists++
 	if c.down {
-		return nil, 0, steer.ErrDown
+		return nil, steer.Position{}, steer.ErrDown
 	}
 	var list []steer.Fact
 	for _, f := range c.facts {
 		list = append(list, f)
 	}
-	return list, c.revision, nil
+	return list, c.position(), nil
 }
 
-func (c *fakeCatalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+func (c *fakeCatalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	for end := time.Now().Add(wait); ; {
 		c.mu.Lock()
-		down, compacted, stalled := c.down, after < c.compacted, c.stalled
+		down, compacted, stalled := c.down, after.Revision < c.compacted, c.stalled
 		var list []steer.Fact
 		for _, f := range c.log {
-			if f.Revision > after && !stalled {
+			if f.Revision > after.Revision && !stalled {
 				list = append(list, f)
 			}
 		}
-		revision := c.revision
+		position := c.position()
 		c.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, steer.ErrDown
+			return nil, steer.Position{}, steer.ErrDown
 		case compacted && !stalled:
-			return nil, 0, steer.ErrCompacted
+			return nil, steer.Position{}, steer.ErrCompacted
 		case len(list) > 0:
-			return list, revision, nil
+			return list, position, nil
 		case ctx.Err() != nil || !time.Now().Before(end):
 			return nil, after, ctx.Err()
 		}
--- a/internal/edge/belief/relay_test.go
+++ b/internal/edge/belief/relay_test.go
@@ -21,10 +21,10 @@
 	watches atomic.Int64
 }
 
-func (c *countingCatalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+func (c *countingCatalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	c.watches.Add(1)
 	if c.denied.Load() {
-		return nil, 0, steer.ErrDown
+		return nil, steer.Position{}, steer.ErrDown
 	}
 	return c.fakeCatalog.Changes(ctx, after, wait)
 }
@@ -168,14 +168,14 @@
 	lists, watches atomic.Int64
 }
 
-func (p *panickingCatalog) List(ctx context.Context) ([]steer.Fact, uint64, error) {
+func (p *panickingCatalog) List(ctx context.Context) ([]steer.Fact, steer.Position, error) {
 	if p.lists.Add(1) == 1 {
 		panic("unexpected")
 	}
 	return p.fakeCatalog.List(ctx)
 }
 
-func (p *panickingCatalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+func (p *panickingCatalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	if p.watches.Add(1) == 1 {
 		panic("unexpected")
 	}
--- a/internal/edge/belief/snap.go
+++ b/internal/edge/belief/snap.go
@@ -176,16 +176,18 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	facts, revision, err := f.catalog.Changes(ctx, s.Revision, catchUpWait)
+	facts, position, err := f.catalog.Changes(ctx, steer.Position{
+		Revision: s.Revision,
+	}, catchUpWait)
 	if err != nil {
 		return nil, nil, fmt.Errorf("changes since revision %d: %w", s.Revision, err)
 	}
-	if revision <= s.Revision {
+	if position.Revision <= s.Revision {
 		return nil, nil, errNoChanges
 	}
 	return s, &steer.Changes{
 		From:  s.Revision,
-		To:    revision,
+		To:    position.Revision,
 		Facts: facts,
 	}, nil
 }
--- a/internal/edge/belief/snap_test.go
+++ b/internal/edge/belief/snap_test.go
@@ -240,7 +240,7 @@
 		assert.Equal(t, len(second.View().Targets[service]), 1356)
 		assert.Equal(t, len(second.View().Index.Plan.Routes), 1632)
 		assert.Equal(t, platform.count().lists, 1)
-		_, _, err := platform.Changes(context.Background(), 0, 0)
+		_, _, err := platform.Changes(context.Background(), steer.Position{}, 0)
 		assert.NilError(t, err)
 	})
 }
--- a/internal/edge/belief/stagger_test.go
+++ b/internal/edge/belief/stagger_test.go
@@ -136,7 +136,7 @@
 			assert.Equal(t, len(f.View().Targets[service]), 0, "host %d", i)
 		}
 		assert.Assert(t, d.platform.count().lists <= lists+2, "%d listings", d.platform.count().lists-lists)
-		_, _, err := d.platform.Changes(context.Background(), d.platform.revision, 0)
+		_, _, err := d.platform.Changes(context.Background(), d.platform.position(), 0)
 		assert.NilError(t, err)
 	})
 }
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -36,22 +36,22 @@
 	separated *atomic.Bool // All calls of the host fail.
 }
 
-func (c separableCatalog) List(ctx context.Context) ([]steer.Fact, uint64, error) {
+func (c separableCatalog) List(ctx context.Context) ([]steer.Fact, steer.Position, error) {
 	if c.separated.Load() {
-		return nil, 0, steer.ErrDown
+		return nil, steer.Position{}, steer.ErrDown
 	}
 	return c.catalog.List(ctx)
 }
 
-func (c separableCatalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+func (c separableCatalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	if c.separated.Load() {
-		return nil, 0, steer.ErrDown
+		return nil, steer.Position{}, steer.ErrDown
 	}
-	facts, revision, err := c.catalog.Changes(ctx, after, wait)
+	facts, position, err := c.catalog.Changes(ctx, after, wait)
 	if c.separated.Load() {
-		return nil, 0, steer.ErrDown
+		return nil, steer.Position{}, steer.ErrDown
 	}
-	return facts, revision, err
+	return facts, position, err
 }
 
 func (c separableCatalog) Renew(ctx context.Context, lease steer.LeaseID) error {
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -59,24 +59,28 @@
 	}
 }
 
-func (c *catalog) List(context.Context) ([]steer.Fact, uint64, error) {
+func (c *catalog) List(context.Context) ([]steer.Fact, steer.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []steer.Fact
 	for _, f := range c.facts {
 		list = append(list, f)
 	}
-	return list, c.revision, nil
+	return list, steer.Position{
+		Revision: c.revision,
+	}, nil
 }
 
-func (c *catalog) Changes(ctx context.Context, after uint64, wait time.Duration) ([]steer.Fact, uint64, error) {
+func (c *catalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 		c.mu.Lock()
-		list := append([]steer.Fact(nil), c.log[min(int(after), len(c.log)):]...)
+		list := append([]steer.Fact(nil), c.log[min(int(after.Revision), len(c.log)):]...)
 		revision := c.revision
 		c.mu.Unlock()
 		if len(list) > 0 {
-			return list, revision, nil
+			return list, steer.Position{
+				Revision: revision,
+			}, nil
 		}
 	}
 	return nil, after, ctx.Err()
--- a/platform.go
+++ b/platform.go
@@ -145,6 +145,13 @@
 	Problem  error  // Why the entry could not be decoded.
 }
 
+// Position is a point in the history of the platform's store. When the store returns from an older copy of its content, a new
+// era begins: revisions go back to that of the copy and are given out again, so revisions of two eras cannot be compared.
+type Position struct {
+	Era      uint64 // 0 if the platform does not tell it.
+	Revision uint64
+}
+
 // Changes holds the entries that changed between two revisions.
 type Changes struct {
 	From  uint64 // Revision after which the changes start.
@@ -156,11 +163,11 @@
 // Every call counts towards the rate limits of the platform. Calls fail with ErrDown if the platform is not reachable, and
 // writes fail with ErrUnknown if the answer was lost.
 type Catalog interface {
-	// List returns all entries and the revision from which Changes continues.
-	List(ctx context.Context) ([]Fact, uint64, error)
-	// Changes returns the entries that changed after a revision, and the revision from which to continue. It waits for
+	// List returns all entries and the position from which Changes continues.
+	List(ctx context.Context) ([]Fact, Position, error)
+	// Changes returns the entries that changed after a position, and the position from which to continue. It waits for
 	// changes, and returns none when wait has passed. It fails with ErrCompacted.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Fact, uint64, error)
+	Changes(ctx context.Context, after Position, wait time.Duration) ([]Fact, Position, error)
 	// Snapshot returns the bytes that SaveSnapshot last wrote, or nil if there are none. They may be some seconds out of date.
 	Snapshot(ctx context.Context) ([]byte, error)
 	// SaveSnapshot replaces the snapshot.
