Test that hosts follow a store that returns from an older copy

The follower is played against a store that goes back to an earlier revision and gives revisions out again: the host knows a later one, an earlier one, none of the copy's, and two returns in a row.

--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -230,12 +230,16 @@
 	assert.Equal(t, table.View().Index.Plan.Version, uint64(9))
 }
 
+// callTime is the time that the platform takes for a listing.
+const callTime = 4 * time.Millisecond
+
 // fakeCatalog is a platform held in memory, with faults that tests switch on.
 type fakeCatalog struct {
 	steer.Catalog
 	mu        sync.Mutex
 	facts     map[string]steer.Fact
 	log       []steer.Fact
+	era       uint64
 	revision  uint64
 	compacted uint64
 	stalled   bool // Watches deliver no changes.
@@ -249,6 +253,24 @@
 func newFakeCatalog() *fakeCatalog {
 	return &fakeCatalog{
 		facts: map[string]steer.Fact{},
+		era:   1,
+	}
+}
+
+// restore replaces the content by that of an earlier revision and begins a new era.
+func (c *fakeCatalog) restore(revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era++
+	c.log = c.log[:revision]
+	c.revision = revision
+	clear(c.facts)
+	for _, f := range c.log {
+		if f.Removed {
+			delete(c.facts, f.Key)
+		} else {
+			c.facts[f.Key] = f
+		}
 	}
 }
 
@@ -311,11 +333,13 @@
 // position returns the latest position. The caller holds mu, or nothing changes.
 func (c *fakeCatalog) position() steer.Position {
 	return steer.Position{
+		Era:      c.era,
 		Revision: c.revision,
 	}
 }
 
 func (c *fakeCatalog) List(context.Context) ([]steer.Fact, steer.Position, error) {
+	time.Sleep(callTime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lists++
@@ -332,7 +356,7 @@
 func (c *fakeCatalog) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
 	for end := time.Now().Add(wait); ; {
 		c.mu.Lock()
-		down, compacted, stalled := c.down, after.Revision < c.compacted, c.stalled
+		down, compacted, stalled := c.down, after.Revision < c.compacted || after.Revision > c.revision, c.stalled
 		var list []steer.Fact
 		for _, f := range c.log {
 			if f.Revision > after.Revision && !stalled {
@@ -349,7 +373,10 @@
 		case len(list) > 0:
 			return list, position, nil
 		case ctx.Err() != nil || !time.Now().Before(end):
-			return nil, after, ctx.Err()
+			return nil, steer.Position{
+				Era:      position.Era,
+				Revision: after.Revision,
+			}, ctx.Err()
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- /dev/null
+++ b/internal/edge/belief/restore_test.go
@@ -0,0 +1,76 @@
+package belief_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/belief"
+)
+
+// Guards against a host that drops or never reads the changes of a store that has returned from an older copy.
+func TestChangesOfRestoredStoreAreInForce(t *testing.T) {
+	const bound = 2500 * time.Millisecond // For a drain and a plan, after the platform acknowledged them.
+	for _, c := range []struct {
+		name   string
+		lost   uint64        // Revisions that the copy lacks.
+		before int           // Writes of others before the host calls again.
+		down   time.Duration // Time for which the store is away.
+		times  int           // Returns from a copy in a row.
+	}{
+		{name: "the host knows a later revision", lost: 5, times: 1},
+		{name: "the host knows an earlier revision", lost: 2, before: 6, down: 2 * time.Second, times: 1},
+		{name: "all revisions that the host knows are lost", lost: 12, before: 3, down: 2 * time.Second, times: 1},
+		{name: "twice in a row", lost: 4, before: 1, times: 2},
+		{name: "twice in a row after outages", lost: 4, before: 8, down: time.Second, times: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := newFakeCatalog()
+				for range 8 {
+					platform.put(steer.Fact{
+						Key: "other",
+					})
+				}
+				platform.put(planFact(1, 0))
+				platform.put(targetFact("a", 0, false))
+				platform.put(targetFact("b", 0, false))
+				platform.put(planFact(5, 0))
+				f := belief.New(belief.Config{
+					Catalog: platform,
+					Regions: regions,
+				})
+				defer f.Stop()
+				time.Sleep(3 * time.Second)
+				for i := range c.times {
+					version := uint64(6 + 2*i)
+					platform.update(func() { platform.down = c.down > 0 })
+					time.Sleep(c.down)
+					platform.restore(platform.position().Revision - c.lost)
+					platform.put(targetFact(fmt.Sprint("new-", i), 0, false))
+					for range c.before {
+						platform.put(steer.Fact{
+							Key: "other",
+						})
+					}
+					platform.update(func() { platform.down = false })
+					platform.put(planFact(version-1, 0)) // The operator and the targets write again what was lost.
+					platform.put(targetFact("a", 0, i > 0))
+					platform.put(targetFact("b", 0, false))
+					time.Sleep(5 * time.Second)
+					lists := platform.count().lists
+					platform.put(planFact(version, 0))
+					platform.put(targetFact("a", 0, true))
+					time.Sleep(bound)
+					assert.Check(t, f.View().Index.Plan.Version == version, "version %d, not %d", f.View().Index.Plan.Version, version)
+					assert.Check(t, len(f.View().Targets[service]) == 2+i, "targets %v", viewTargetIDs(f.View()))
+					assert.Check(t, platform.count().lists == lists, "%d listings", platform.count().lists-lists)
+				}
+			})
+		})
+	}
+}
