Order what hosts know by the era of the store, then by revision

Cause: knowledge was ordered by revision alone, which is an order within one history of the store. After the return the store goes back and gives the same revisions out again, so hosts took its entries for known ones, continued from a position of the lost history, and got 410 for it without end. Class: an order that rests on one store's history.

Change: a position is an era and a revision. Plans still go by their version. A watch that is answered from another era leads to a listing; relayed changes carry the era, and the first listing of an era is relayed whole, so a data centre needs one and a host without the platform follows. Listings that lead to no watch back off. Changes of a host of an older build, which tells no era, count for the era in which this host started.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,13 +79,13 @@
 
 	mu            sync.Mutex
 	table         *table
-	revision      uint64    // Revision from which the next watch continues.
-	relayedUntil  time.Time // End of the pause due to the host that watches on behalf of this one.
-	fallbackUntil time.Time // End of the pause due to any relaying host; used only after a failed call of this host.
-	lastFailure   time.Time // When a call of this host last failed.
+	position      steer.Position // Position from which the next watch continues.
+	firstEra      uint64         // Era of the first listing.
+	relayedUntil  time.Time      // End of the pause due to the host that watches on behalf of this one.
+	fallbackUntil time.Time      // End of the pause due to any relaying host; used only after a failed call of this host.
+	lastFailure   time.Time      // When a call of this host last failed.
 	lastSnapshot  lastSnapshot
-	watching      bool   // This host watches the platform itself. Used by the loop only.
-	watchedEra    uint64 // Era of the last answer to a watch. Used by the loop only.
+	watching      bool // This host watches the platform itself. Used by the loop only.
 }
 
 // New starts a follower. Call Stop to end it.
@@ -154,7 +155,7 @@
 
 // ApplyRelayed applies changes that another host of the data centre received from the platform. If fromWatcher is set, the
 // other host watches on behalf of this one, and this host pauses its own watch for relayTTL and its stagger delay. Changes
-// from any other host pause it only after a call of this host failed. Changes that leave a gap after the last known revision
+// from any other host pause it only after a call of this host failed. Changes that leave a gap after the last known position
 // are dropped, and this host watches at once. Nothing is applied before the first listing.
 func (f *Follower) ApplyRelayed(now time.Time, fromWatcher bool, c steer.Changes) {
 	f.mu.Lock()
@@ -162,7 +163,13 @@
 	if !f.table.listed {
 		return
 	}
-	if c.From > f.revision {
+	if c.To.Era == 0 {
+		c.To.Era = f.firstEra // The sender runs a build that does not tell eras.
+	}
+	if c.To.Era < f.position.Era {
+		return
+	}
+	if !c.Listing && (c.To.Era > f.position.Era || c.From > f.position.Revision) {
 		f.relayedUntil, f.fallbackUntil = time.Time{}, time.Time{}
 		select {
 		case f.wake <- struct{}{}:
@@ -174,6 +181,10 @@
 		f.relayedUntil = now.Add(relayTTL + f.staggerDelay())
 	}
 	f.fallbackUntil = now.Add(relayTTL)
+	if c.Listing {
+		f.applyListing(now, c.Facts, c.To)
+		return
+	}
 	f.applyChanges(now, c.Facts, c.To)
 }
 
@@ -236,6 +247,7 @@
 
 func (f *Follower) run(ctx context.Context) {
 	started, listed := false, false
+	relisting := false // No watch has succeeded since the last one asked for a listing.
 	pause := minRetryDelay
 	for ctx.Err() == nil {
 		var err error
@@ -259,6 +271,7 @@
 				wait = catchUpWait // Relaying an answer at once keeps the other hosts of the data centre from watching.
 			}
 			f.guardStep("watch", &err, func() { changed, err = f.watch(ctx, wait) })
+			relisting = relisting && err != nil
 		}
 		if err == nil {
 			pause = minRetryDelay
@@ -273,19 +286,28 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, steer.ErrCompacted) {
-			_ = level.Info(f.logger).Log("msg", "Change history was compacted, listing again.")
+		if errors.Is(err, steer.ErrCompacted) || errors.Is(err, errRestored) {
+			_ = level.Info(f.logger).Log("msg", "Changes are not available, listing again.", "err", err)
 			listed = false
-			continue
+			if !relisting {
+				relisting = true
+				continue
+			}
+		} else {
+			f.noteFailure(err)
 		}
-		f.noteFailure(err)
 		f.sleep(ctx, pause)
 		pause = min(2*pause, maxRetryDelay)
 	}
 }
 
-// errPanic is the error of a step that panicked.
-var errPanic = errors.New("step panicked")
+var (
+	// errPanic is the error of a step that panicked.
+	errPanic = errors.New("step panicked")
+
+	// errRestored means that the store has returned from an older copy since the position of a watch.
+	errRestored = errors.New("store was restored from a copy")
+)
 
 // guardStep runs one step of the loop, and sets err to errPanic if the step panics.
 func (f *Follower) guardStep(name string, err *error, step func()) {
@@ -299,33 +321,62 @@
 	if err != nil {
 		return err
 	}
-	changes, relisted := f.listed(facts, position)
+	changes, relisted, err := f.listed(facts, position)
+	if err != nil {
+		return err
+	}
 	if relisted {
 		f.relay(changes) // Saves the other hosts of the data centre a listing.
 	}
 	return nil
 }
 
-// listed applies a listing. It returns what has changed, and reports whether the entries had been listed before.
-func (f *Follower) listed(facts []steer.Fact, position steer.Position) (steer.Changes, bool) {
+// listed applies a listing of this host. It returns what to relay, and reports whether the entries had been listed before.
+func (f *Follower) listed(facts []steer.Fact, position steer.Position) (steer.Changes, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	relisted := f.table.listed
-	changes := steer.Changes{
-		From: f.revision,
-		To:   max(f.revision, position.Revision),
+	before := f.position
+	if position.Era < before.Era {
+		return steer.Changes{}, false, fmt.Errorf("listing of era %d, known is %d: %w", position.Era, before.Era, steer.ErrDown)
 	}
+	changed := f.applyListing(now, facts, position)
+	f.awaitRelay(now)
+	if before.Era != f.position.Era {
+		return steer.Changes{
+			To:      position,
+			Listing: true,
+			Facts:   facts,
+		}, relisted, nil
+	}
+	return steer.Changes{
+		From:  before.Revision,
+		To:    f.position,
+		Facts: changed,
+	}, relisted, nil
+}
+
+// applyListing applies a listing of the current era or a later one, publishes the view and returns the entries that have
+// changed. The caller holds mu.
+func (f *Follower) applyListing(now time.Time, facts []steer.Fact, position steer.Position) []steer.Fact {
 	f.noteReached(now)
-	var problems []error
-	changes.Facts, problems = f.table.list(now, facts, position.Revision)
+	if !f.table.listed {
+		f.position, f.firstEra = position, position.Era
+	}
+	if position.Era > f.position.Era {
+		_ = level.Warn(f.logger).Log("msg", "Store was restored from a copy.", "era", position.Era, "revision", position.Revision,
+			"era-before", f.position.Era, "revision-before", f.position.Revision)
+		f.table.beginEra(now)
+		f.position = position
+	}
+	changed, problems := f.table.list(now, facts, position.Revision)
 	f.logProblems(problems)
-	f.revision = max(f.revision, position.Revision)
+	f.position.Revision = max(f.position.Revision, position.Revision)
 	f.publish()
-	f.awaitRelay(now)
 	_ = level.Info(f.logger).Log("msg", "Entries listed.", "entries", len(facts), "era", position.Era,
 		"revision", position.Revision, "version", f.planVersion())
-	return changes, relisted
+	return changed
 }
 
 // watch makes one call for changes, relays and applies the result, and returns the number of changes.
@@ -335,47 +386,54 @@
 	if next := f.dropExpired(now); !next.IsZero() {
 		wait = min(wait, next.Sub(now)+time.Millisecond)
 	}
-	after := f.revision
+	after := f.position
 	f.mu.Unlock()
-	facts, position, err := f.catalog.Changes(ctx, steer.Position{
-		Revision: after,
-	}, wait)
+	facts, position, err := f.catalog.Changes(ctx, after, wait)
+	if f.leftEra(after.Era) {
+		return 0, nil // A relayed listing began another era meanwhile.
+	}
 	if err != nil {
 		return 0, err
 	}
-	f.logEra(position.Era)
+	if position.Era != after.Era {
+		return 0, fmt.Errorf("%w: era %d, before %d", errRestored, position.Era, after.Era)
+	}
 	f.relay(steer.Changes{
-		From:  after,
-		To:    position.Revision,
+		From:  after.Revision,
+		To:    position,
 		Facts: facts,
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyChanges(time.Now(), facts, position.Revision)
+	f.applyChanges(time.Now(), facts, position)
 	return len(facts), nil
 }
 
-// logEra logs the era of a watch if it is not that of the watch before.
-func (f *Follower) logEra(era uint64) {
-	if era != f.watchedEra {
-		_ = level.Info(f.logger).Log("msg", "Watch answered from another era.", "era", era, "before", f.watchedEra)
-	}
-	f.watchedEra = era
+// leftEra reports whether this host is no longer in an era.
+func (f *Follower) leftEra(era uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position.Era != era
 }
 
-// applyChanges applies changes up to a revision and publishes the view. The caller holds mu.
-func (f *Follower) applyChanges(now time.Time, facts []steer.Fact, revision uint64) {
+// applyChanges applies changes of the current era up to a position and publishes the view. It drops those of another era. The
+// caller holds mu.
+func (f *Follower) applyChanges(now time.Time, facts []steer.Fact, position steer.Position) {
+	if position.Era != f.position.Era {
+		return
+	}
 	f.noteReached(now)
 	previous := f.planVersion()
 	for _, fact := range facts {
 		f.logProblems(f.table.apply(now, fact))
 		f.logChange(fact)
 	}
-	f.revision = max(f.revision, revision)
+	f.position.Revision = max(f.position.Revision, position.Revision)
 	f.table.expire(now)
 	f.publish()
 	if v := f.planVersion(); v != previous {
-		_ = level.Info(f.logger).Log("msg", "Plan in force.", "version", v, "before", previous, "revision", revision)
+		_ = level.Info(f.logger).Log("msg", "Plan in force.", "version", v, "before", previous, "era", position.Era,
+			"revision", position.Revision)
 	}
 }
 
--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -257,26 +257,21 @@
 	}
 }
 
-// restore replaces the content by that of an earlier revision and begins a new era.
+// restore replaces the content by that of an earlier revision and begins a new era. The caller holds mu.
 func (c *fakeCatalog) restore(revision uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	kept := c.log[:revision]
 	c.era++
-	c.log = c.log[:revision]
-	c.revision = revision
+	c.log, c.revision = nil, 0
 	clear(c.facts)
-	for _, f := range c.log {
-		if f.Removed {
-			delete(c.facts, f.Key)
-		} else {
-			c.facts[f.Key] = f
-		}
+	for _, f := range kept {
+		c.write(f)
 	}
 }
 
-func (c *fakeCatalog) put(f steer.Fact) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *fakeCatalog) put(f steer.Fact) { c.update(func() { c.write(f) }) }
+
+// write changes an entry. The caller holds mu.
+func (c *fakeCatalog) write(f steer.Fact) {
 	c.revision++
 	f.Revision = c.revision
 	if f.Removed {
--- a/internal/edge/belief/restore_test.go
+++ b/internal/edge/belief/restore_test.go
@@ -50,7 +50,7 @@
 					version := uint64(6 + 2*i)
 					platform.update(func() { platform.down = c.down > 0 })
 					time.Sleep(c.down)
-					platform.restore(platform.position().Revision - c.lost)
+					platform.update(func() { platform.restore(platform.revision - c.lost) })
 					platform.put(targetFact(fmt.Sprint("new-", i), 0, false))
 					for range c.before {
 						platform.put(steer.Fact{
@@ -74,3 +74,21 @@
 		})
 	}
 }
+
+// Guards against a host without the platform that ignores the listing of a restored store, which another host relays.
+func TestDeniedHostFollowsRestoredStore(t *testing.T) {
+	const bound = 2500 * time.Millisecond // For a plan, after the platform acknowledged it.
+	runHostPair(t, func(platform *fakeCatalog, _, second *countingCatalog, _ func(bool), view func() *belief.View) {
+		platform.put(planFact(3, 0))
+		platform.put(targetFact("b", 0, false))
+		time.Sleep(bound)
+		second.denied.Store(true)
+		platform.update(func() { platform.restore(platform.revision - 2) })
+		time.Sleep(2 * time.Second)
+		platform.put(planFact(4, 0))
+		platform.put(targetFact("a", 0, true))
+		time.Sleep(bound)
+		assert.Equal(t, view().Index.Plan.Version, uint64(4))
+		assert.Equal(t, len(view().Targets[service]), 0)
+	})
+}
--- a/internal/edge/belief/snap.go
+++ b/internal/edge/belief/snap.go
@@ -41,6 +41,7 @@
 // snapshot holds the entries of the platform at one revision.
 type snapshot struct {
 	Format   int          `cbor:"format"`
+	Era      uint64       `cbor:"era,omitempty"`
 	Revision uint64       `cbor:"revision"`
 	Facts    []steer.Fact `cbor:"facts"`
 }
@@ -77,13 +78,14 @@
 
 // snapshot returns the entries that hosts need from the platform. It returns nil while these are not certain: after an
 // outage, the table keeps entries that may no longer exist.
-func (t *table) snapshot(now time.Time, revision uint64) *snapshot {
+func (t *table) snapshot(now time.Time, position steer.Position) *snapshot {
 	if !t.listed || !t.reachable || len(t.lapseDeadlines) > 0 || now.Sub(t.regainedAt) < reregisterGrace || t.index == nil {
 		return nil
 	}
 	s := &snapshot{
 		Format:   snapshotFormat,
-		Revision: revision,
+		Era:      position.Era,
+		Revision: position.Revision,
 	}
 	for key, fact := range t.facts {
 		switch {
@@ -133,7 +135,7 @@
 		_ = level.Warn(f.logger).Log("msg", "Snapshot not written.", "revision", s.Revision, "bytes", len(data), "err", err)
 		return
 	}
-	_ = level.Info(f.logger).Log("msg", "Snapshot written.", "revision", s.Revision, "version", f.lastSnapshot.planVersion,
+	_ = level.Info(f.logger).Log("msg", "Snapshot written.", "era", s.Era, "revision", s.Revision, "version", f.lastSnapshot.planVersion,
 		"entries", len(s.Facts), "bytes", len(data))
 }
 
@@ -141,6 +143,7 @@
 type lastSnapshot struct {
 	at          time.Time
 	planVersion uint64 // Of its plan.
+	era         uint64
 }
 
 // dueSnapshot returns the snapshot to write now, and nil if none is due.
@@ -149,15 +152,16 @@
 	defer f.mu.Unlock()
 	planVersion := f.planVersion()
 	age := now.Sub(f.lastSnapshot.at)
-	if age < minSnapshotInterval || planVersion == f.lastSnapshot.planVersion && age < f.snapshotInterval ||
-		!f.table.isSnapshotWriter(f.host) {
+	outdated := planVersion != f.lastSnapshot.planVersion || f.position.Era != f.lastSnapshot.era
+	if age < minSnapshotInterval || !outdated && age < f.snapshotInterval || !f.table.isSnapshotWriter(f.host) {
 		return nil
 	}
-	s := f.table.snapshot(now, f.revision)
+	s := f.table.snapshot(now, f.position)
 	if s != nil {
 		f.lastSnapshot = lastSnapshot{
 			at:          now,
 			planVersion: planVersion,
+			era:         f.position.Era,
 		}
 	}
 	return s
@@ -177,17 +181,21 @@
 		return nil, nil, err
 	}
 	facts, position, err := f.catalog.Changes(ctx, steer.Position{
+		Era:      s.Era,
 		Revision: s.Revision,
 	}, catchUpWait)
 	if err != nil {
 		return nil, nil, fmt.Errorf("changes since revision %d: %w", s.Revision, err)
 	}
+	if position.Era != s.Era {
+		return nil, nil, fmt.Errorf("snapshot of era %d: %w: era %d", s.Era, errRestored, position.Era)
+	}
 	if position.Revision <= s.Revision {
 		return nil, nil, errNoChanges
 	}
 	return s, &steer.Changes{
 		From:  s.Revision,
-		To:    position.Revision,
+		To:    position,
 		Facts: facts,
 	}, nil
 }
@@ -213,10 +221,10 @@
 	f.noteReached(now)
 	_, problems := f.table.list(now, s.Facts, s.Revision)
 	f.logProblems(problems)
-	f.revision = max(f.revision, s.Revision)
+	f.position, f.firstEra = changes.To, changes.To.Era
 	f.applyChanges(now, changes.Facts, changes.To)
 	f.awaitRelay(now)
-	_ = level.Info(f.logger).Log("msg", "Started from the snapshot.", "entries", len(s.Facts), "revision", s.Revision,
-		"changes", len(changes.Facts), "now", changes.To, "version", f.planVersion())
+	_ = level.Info(f.logger).Log("msg", "Started from the snapshot.", "entries", len(s.Facts), "era", s.Era,
+		"revision", s.Revision, "changes", len(changes.Facts), "now", changes.To.Revision, "version", f.planVersion())
 	return nil
 }
--- a/internal/edge/belief/snap_test.go
+++ b/internal/edge/belief/snap_test.go
@@ -96,6 +96,22 @@
 			heal:  func(*fakeCatalog) {},
 			lists: true,
 		},
+		{
+			name: "store restored from a copy that is older than the snapshot",
+			fault: func(c *fakeCatalog) {
+				latest := c.revision
+				c.restore(4)
+				c.write(planFact(2, 0))
+				c.write(removedFact("targets/x", 0))
+				for c.revision <= latest {
+					c.write(steer.Fact{
+						Key: "other",
+					})
+				}
+			},
+			heal:  func(*fakeCatalog) {},
+			lists: true,
+		},
 		{
 			name:  "snapshot truncated",
 			fault: func(c *fakeCatalog) { c.snapshot = c.snapshot[:len(c.snapshot)/2] },
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -45,6 +45,7 @@
 	lostAt             time.Time // When the platform became unreachable; used only until it is reachable again.
 	peerReachableSince time.Time // Since when another host has reached it during an outage; zero for none.
 	regainedAt         time.Time // When the last outage ended, as first seen by this host or another.
+	restoredAt         time.Time // When this host learned that the store had returned from an older copy.
 	reachable          bool
 	lastContact        time.Time
 	reachableSince     time.Time // Since when the platform has been reachable.
@@ -87,6 +88,21 @@
 	return changed, problems
 }
 
+// beginEra prepares for the first listing of a store that has returned from an older copy of its content: whatever revision an
+// entry has there, it is newer than what is known. Entries that are missing are kept for reregisterGrace, because what was
+// written since the copy is written again.
+func (t *table) beginEra(now time.Time) {
+	t.regainedAt = now
+	t.restoredAt = now
+	t.planRevision = 0
+	clear(t.removedRevisions)
+	clear(t.lapseDeadlines)
+	for key, fact := range t.facts {
+		fact.Revision = 0
+		t.facts[key] = fact
+	}
+}
+
 // apply applies one change and returns the errors of a rejected entry. It ignores changes that are not newer than the known
 // entry or its removal. A panic is returned as an error of the entry.
 func (t *table) apply(now time.Time, fact steer.Fact) (problems []error) {
@@ -152,14 +168,14 @@
 
 // remove drops an entry. A target is kept for reregisterGrace if an outage of the platform ended within lapseWindow, because
 // its registration may only have lapsed. If other hosts reached the platform all the while, only this host was cut off, and
-// the removal is final.
+// the removal is final. After the store returned from a copy, any entry is kept.
 func (t *table) remove(now time.Time, key string, revision uint64) {
 	known, ok := t.facts[key]
 	if !ok {
 		return
 	}
 	t.removedRevisions[key] = max(t.removedRevisions[key], revision)
-	if known.Endpoint != nil && now.Sub(t.regainedAt) < lapseWindow {
+	if known.Endpoint != nil && now.Sub(t.regainedAt) < lapseWindow || now.Sub(t.restoredAt) < lapseWindow {
 		if _, waiting := t.lapseDeadlines[key]; !waiting {
 			t.lapseDeadlines[key] = t.regainedAt.Add(reregisterGrace)
 		}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -26,7 +26,7 @@
 	mu      sync.Mutex
 	demand  map[string]float64 // Of the customer naviera, by peer id.
 	leaving map[string]bool
-	facts   []steer.Fact
+	changes []steer.Changes
 }
 
 func (r *recorder) recordStatus(_ time.Time, status gossip.PeerStatus) {
@@ -39,7 +39,7 @@
 func (r *recorder) recordChanges(_ time.Time, _ string, c steer.Changes) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.facts = append(r.facts, c.Facts...)
+	r.changes = append(r.changes, c)
 }
 
 func (r *recorder) get(host string) (float64, bool) {
@@ -291,23 +291,28 @@
 			Problem:  errors.New("entry lacks a field"),
 		},
 	}
-	heard := func() []steer.Fact {
+	heard := func() []steer.Changes {
 		recorderB.mu.Lock()
 		defer recorderB.mu.Unlock()
-		return slices.Clone(recorderB.facts)
+		return slices.Clone(recorderB.changes)
+	}
+	sent := steer.Changes{
+		From: 2,
+		To: steer.Position{
+			Era:      3,
+			Revision: 7,
+		},
+		Listing: true,
+		Facts:   facts,
 	}
 	waitUntil(t, func() bool {
-		a.Relay(steer.Changes{
-			From:  2,
-			To:    7,
-			Facts: facts,
-		})
+		a.Relay(sent)
 		return len(heard()) > 0
 	})
-	got := heard()[:len(facts)]
-	assert.Equal(t, got[4].Problem.Error(), facts[4].Problem.Error())
-	got[4].Problem = facts[4].Problem
-	assert.DeepEqual(t, got, facts, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
+	got := heard()[0]
+	assert.Equal(t, got.Facts[4].Problem.Error(), facts[4].Problem.Error())
+	got.Facts[4].Problem = facts[4].Problem
+	assert.DeepEqual(t, got, sent, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 		cmp.Comparer(func(a, b error) bool { return (a == nil) == (b == nil) }))
 }
 
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -73,9 +73,11 @@
 
 // entryChanges is the encoding of steer.Changes.
 type entryChanges struct {
-	From  uint64     `cbor:"from"`
-	To    uint64     `cbor:"to"`
-	Facts []wireFact `cbor:"facts,omitempty"`
+	From    uint64     `cbor:"from"`
+	To      uint64     `cbor:"to"`
+	Era     uint64     `cbor:"era,omitempty"`
+	Listing bool       `cbor:"listing,omitempty"`
+	Facts   []wireFact `cbor:"facts,omitempty"`
 }
 
 // wireFact is a steer.Fact whose problem is encoded as text.
@@ -295,8 +297,10 @@
 
 func toWireChanges(c steer.Changes) *entryChanges {
 	e := &entryChanges{
-		From: c.From,
-		To:   c.To,
+		From:    c.From,
+		To:      c.To.Revision,
+		Era:     c.To.Era,
+		Listing: c.Listing,
 	}
 	for _, f := range c.Facts {
 		w := wireFact{
@@ -313,7 +317,11 @@
 func (e *entryChanges) toChanges() steer.Changes {
 	c := steer.Changes{
 		From: e.From,
-		To:   e.To,
+		To: steer.Position{
+			Era:      e.Era,
+			Revision: e.To,
+		},
+		Listing: e.Listing,
 	}
 	for _, w := range e.Facts {
 		f := w.Fact
--- a/platform.go
+++ b/platform.go
@@ -152,11 +152,12 @@
 	Revision uint64
 }
 
-// Changes holds the entries that changed between two revisions.
+// Changes holds the entries that changed between two positions of one era, or a whole listing.
 type Changes struct {
-	From  uint64 // Revision after which the changes start.
-	To    uint64 // Revision from which the next changes continue.
-	Facts []Fact
+	From    uint64   // Revision after which the changes start.
+	To      Position // Position from which the next changes continue.
+	Listing bool     // Facts holds all entries, whatever the revision before.
+	Facts   []Fact
 }
 
 // Catalog gives hosts access to the platform: the plan, the targets, the data centres to be emptied and the other hosts.
@@ -166,7 +167,8 @@
 	// List returns all entries and the position from which Changes continues.
 	List(ctx context.Context) ([]Fact, Position, error)
 	// Changes returns the entries that changed after a position, and the position from which to continue. It waits for
-	// changes, and returns none when wait has passed. It fails with ErrCompacted.
+	// changes, and returns none when wait has passed. It fails with ErrCompacted. If the position that it returns is of
+	// another era, the entries are not all that have changed.
 	Changes(ctx context.Context, after Position, wait time.Duration) ([]Fact, Position, error)
 	// Snapshot returns the bytes that SaveSnapshot last wrote, or nil if there are none. They may be some seconds out of date.
 	Snapshot(ctx context.Context) ([]byte, error)
