End a lease with the era of the store that granted it

What callers would see: a host that is missing from the directory although it runs, or is named there after it has left.

Cause: a lease is known by its number, and a store that returns from a copy may grant that number again. A host whose lease was lost then renews that of another host, and stays unregistered.

Change: a lease holds its era. A renewal or a registration that is answered from another era fails with ErrLeaseLost, and the host registers again.

--- a/internal/edge/join/join.go
+++ b/internal/edge/join/join.go
@@ -43,7 +43,7 @@
 	config Config
 	logger log.Logger
 	guard  *guard.Guard
-	lease  steer.LeaseID // Empty while not registered. Used by the loop, and by Leave once the loop has ended.
+	lease  steer.Lease // Zero while not registered. Used by the loop, and by Leave once the loop has ended.
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -76,13 +76,13 @@
 func (m *Member) Leave(ctx context.Context) {
 	m.cancel()
 	<-m.done
-	if m.lease == "" {
+	if m.lease == (steer.Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	err := m.config.Catalog.Revoke(ctx, m.lease)
-	_ = level.Info(m.logger).Log("msg", "Registration ended.", "lease", m.lease, "err", err)
+	_ = level.Info(m.logger).Log("msg", "Registration ended.", "lease", m.lease.ID, "err", err)
 }
 
 func (m *Member) run(ctx context.Context) {
@@ -94,7 +94,7 @@
 		if err != nil && ctx.Err() == nil {
 			wait = pause
 			pause = min(2*pause, maxRetryDelay)
-			_ = level.Warn(m.logger).Log("msg", "Registration failed.", "lease", m.lease, "err", err)
+			_ = level.Warn(m.logger).Log("msg", "Registration failed.", "lease", m.lease.ID, "err", err)
 		} else {
 			pause = minRetryDelay
 		}
@@ -112,13 +112,13 @@
 
 // renewOrRegister renews the lease, or registers the host under a new lease if there is none or it was lost.
 func (m *Member) renewOrRegister(ctx context.Context) error {
-	if m.lease != "" {
+	if m.lease != (steer.Lease{}) {
 		err := m.config.Catalog.Renew(ctx, m.lease)
 		if !errors.Is(err, steer.ErrLeaseLost) {
 			return err
 		}
-		_ = level.Warn(m.logger).Log("msg", "Lease lost, registering again.", "lease", m.lease)
-		m.lease = ""
+		_ = level.Warn(m.logger).Log("msg", "Lease lost, registering again.", "lease", m.lease.ID)
+		m.lease = steer.Lease{}
 	}
 	lease, err := m.config.Catalog.Grant(ctx, leaseTerm)
 	if err != nil {
@@ -128,6 +128,6 @@
 		return err
 	}
 	m.lease = lease
-	_ = level.Info(m.logger).Log("msg", "Host registered.", "host", m.config.Host.ID, "lease", lease)
+	_ = level.Info(m.logger).Log("msg", "Host registered.", "host", m.config.Host.ID, "lease", lease.ID, "era", lease.Era)
 	return nil
 }
--- a/internal/edge/join/join_test.go
+++ b/internal/edge/join/join_test.go
@@ -18,28 +18,30 @@
 	steer.Catalog
 	mu      sync.Mutex
 	granted int
-	ends    map[steer.LeaseID]time.Time
+	ends    map[steer.Lease]time.Time
 	term    time.Duration
-	hosts   map[steer.LeaseID]string
+	hosts   map[steer.Lease]string
 	down    bool
 }
 
-func (l *fakeCatalog) isAlive(id steer.LeaseID) bool { return time.Now().Before(l.ends[id]) }
+func (l *fakeCatalog) isAlive(id steer.Lease) bool { return time.Now().Before(l.ends[id]) }
 
-func (l *fakeCatalog) Grant(_ context.Context, term time.Duration) (steer.LeaseID, error) {
+func (l *fakeCatalog) Grant(_ context.Context, term time.Duration) (steer.Lease, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return "", steer.ErrUnknown
+		return steer.Lease{}, steer.ErrUnknown
 	}
 	l.granted++
-	id := steer.LeaseID(rune('a' + l.granted))
+	id := steer.Lease{
+		ID: steer.LeaseID(rune('a' + l.granted)),
+	}
 	l.term = term
 	l.ends[id] = time.Now().Add(term)
 	return id, nil
 }
 
-func (l *fakeCatalog) Renew(_ context.Context, id steer.LeaseID) error {
+func (l *fakeCatalog) Renew(_ context.Context, id steer.Lease) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -52,14 +54,14 @@
 	return nil
 }
 
-func (l *fakeCatalog) Revoke(_ context.Context, id steer.LeaseID) error {
+func (l *fakeCatalog) Revoke(_ context.Context, id steer.Lease) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.ends, id)
 	return nil
 }
 
-func (l *fakeCatalog) Announce(_ context.Context, host steer.HostEntry, id steer.LeaseID) error {
+func (l *fakeCatalog) Announce(_ context.Context, host steer.HostEntry, id steer.Lease) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.isAlive(id) {
@@ -97,8 +99,8 @@
 func TestStaysRegisteredUntilLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		platform := &fakeCatalog{
-			ends:  map[steer.LeaseID]time.Time{},
-			hosts: map[steer.LeaseID]string{},
+			ends:  map[steer.Lease]time.Time{},
+			hosts: map[steer.Lease]string{},
 		}
 		m := join.New(join.Config{
 			Catalog: platform,
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -54,7 +54,7 @@
 	return facts, position, err
 }
 
-func (c separableCatalog) Renew(ctx context.Context, lease steer.LeaseID) error {
+func (c separableCatalog) Renew(ctx context.Context, lease steer.Lease) error {
 	if c.separated.Load() {
 		return steer.ErrDown
 	}
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -42,7 +42,7 @@
 	facts    map[string]steer.Fact
 	log      []steer.Fact
 	revision uint64
-	leases   map[steer.LeaseID]string // Key of the entry that a lease keeps.
+	leases   map[steer.Lease]string // Key of the entry that a lease keeps.
 	snapshot []byte
 }
 
@@ -102,17 +102,19 @@
 	return nil
 }
 
-func (c *catalog) Grant(context.Context, time.Duration) (steer.LeaseID, error) {
+func (c *catalog) Grant(context.Context, time.Duration) (steer.Lease, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	id := steer.LeaseID(fmt.Sprint(len(c.leases) + 1))
+	id := steer.Lease{
+		ID: steer.LeaseID(fmt.Sprint(len(c.leases) + 1)),
+	}
 	c.leases[id] = ""
 	return id, nil
 }
 
-func (c *catalog) Renew(context.Context, steer.LeaseID) error { return nil }
+func (c *catalog) Renew(context.Context, steer.Lease) error { return nil }
 
-func (c *catalog) Revoke(_ context.Context, lease steer.LeaseID) error {
+func (c *catalog) Revoke(_ context.Context, lease steer.Lease) error {
 	c.mu.Lock()
 	key := c.leases[lease]
 	c.mu.Unlock()
@@ -123,7 +125,7 @@
 	return nil
 }
 
-func (c *catalog) Announce(_ context.Context, host steer.HostEntry, lease steer.LeaseID) error {
+func (c *catalog) Announce(_ context.Context, host steer.HostEntry, lease steer.Lease) error {
 	key := "hosts/" + host.ID
 	c.mu.Lock()
 	c.leases[lease] = key
@@ -199,7 +201,7 @@
 	t.Helper()
 	c := &catalog{
 		facts:  map[string]steer.Fact{},
-		leases: map[steer.LeaseID]string{},
+		leases: map[steer.Lease]string{},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/platform.go
+++ b/platform.go
@@ -175,13 +175,20 @@
 	// SaveSnapshot replaces the snapshot.
 	SaveSnapshot(ctx context.Context, data []byte) error
 	// Grant creates a lease with the given term.
-	Grant(ctx context.Context, term time.Duration) (LeaseID, error)
+	Grant(ctx context.Context, term time.Duration) (Lease, error)
 	// Renew restarts the term of a lease. It fails with ErrLeaseLost.
-	Renew(ctx context.Context, lease LeaseID) error
+	Renew(ctx context.Context, lease Lease) error
 	// Revoke ends a lease and removes its entries. It fails with ErrLeaseLost.
-	Revoke(ctx context.Context, lease LeaseID) error
+	Revoke(ctx context.Context, lease Lease) error
 	// Announce registers a host until its lease ends. It fails with ErrLeaseLost.
-	Announce(ctx context.Context, host HostEntry, lease LeaseID) error
+	Announce(ctx context.Context, host HostEntry, lease Lease) error
+}
+
+// Lease is a lease of the platform's store. It is lost when its era ends: a store that returns from an older copy may not know
+// it, or may grant its ID again.
+type Lease struct {
+	ID  LeaseID
+	Era uint64 // As in Position.
 }
 
 // HeaderNames holds the names of the headers that hosts read and set. The platform defines them.
