Keep what was known when an older copy of the store contradicts it

What callers would see: requests at targets that have left, and hosts in the directory that have ended, for the seconds in which the copy still holds their entries; or none at targets that started again since the copy.

Cause: the first listing of an era replaced all that was known. A copy holds entries that were removed since it was made, until they lapse again, and targets as ready that had reported to leave. A host that saw it has better knowledge.

TestOneListingPerDataCentre now has rows for a restored store, with 47 hosts: 2 and 8 listings at most, as before for a compacted history.

Conclusion: what a host learned outlives the store's loss of it; a host that starts right after the return knows only the copy (open).

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -235,11 +235,11 @@
 	return until
 }
 
-// dropExpired drops lapsed entries that did not come back in time, and publishes the view if there were any. It returns when
-// to call it next, zero if no entry is waiting. The caller holds mu.
+// dropExpired drops lapsed entries that did not come back in time, uses held ones that have stayed, and publishes the view if
+// there were any. It returns when to call it next, zero if no entry is waiting. The caller holds mu.
 func (f *Follower) dropExpired(now time.Time) time.Time {
-	next, dropped := f.table.expire(now)
-	if dropped {
+	next, changed := f.table.expire(now)
+	if changed {
 		f.publish()
 	}
 	return next
@@ -364,13 +364,14 @@
 	if !f.table.listed {
 		f.position, f.firstEra = position, position.Era
 	}
+	list := f.table.list
 	if position.Era > f.position.Era {
 		_ = level.Warn(f.logger).Log("msg", "Store was restored from a copy.", "era", position.Era, "revision", position.Revision,
 			"era-before", f.position.Era, "revision-before", f.position.Revision)
-		f.table.beginEra(now)
 		f.position = position
+		list = f.table.restore
 	}
-	changed, problems := f.table.list(now, facts, position.Revision)
+	changed, problems := list(now, facts, position.Revision)
 	f.logProblems(problems)
 	f.position.Revision = max(f.position.Revision, position.Revision)
 	f.publish()
--- a/internal/edge/belief/export_test.go
+++ b/internal/edge/belief/export_test.go
@@ -22,6 +22,11 @@
 	return problems
 }
 
+// Restore applies the first listing after the store has returned from a copy.
+func (t Table) Restore(now time.Time, facts []steer.Fact, revision uint64) {
+	t.t.restore(now, facts, revision)
+}
+
 // Apply applies a change and returns the errors of a rejected entry.
 func (t Table) Apply(now time.Time, fact steer.Fact) []error { return t.t.apply(now, fact) }
 
--- a/internal/edge/belief/restore_test.go
+++ b/internal/edge/belief/restore_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
 	"monsoonhub.example/steer"
@@ -92,3 +94,120 @@
 		assert.Equal(t, len(view().Targets[service]), 0)
 	})
 }
+
+// startedFact returns a target that started at the given time.
+func startedFact(id string, startMillis int64, revision uint64, draining bool) steer.Fact {
+	fact := targetFact(id, revision, draining)
+	fact.Endpoint.StartMillis = startMillis
+	return fact
+}
+
+// Guards against entries of an older copy that undo what was known: targets and hosts that have left or started since, and
+// data centres that are emptied.
+func TestCopyOfStoreDoesNotUndoKnowledge(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	type effect struct {
+		targets []string
+		hosts   int
+		emptied bool
+	}
+	view := func(table belief.Table) effect {
+		v := table.View()
+		return effect{
+			targets: targetIDs(table),
+			hosts:   len(v.Hosts),
+			emptied: v.Emptied["golfo-b"],
+		}
+	}
+	emptied := steer.Fact{
+		Key:      "empty/golfo-b",
+		Revision: 8,
+		Emptied:  "golfo-b",
+	}
+	options := cmp.Options{cmp.AllowUnexported(effect{}), cmpopts.EquateEmpty()}
+	host := hostFact("h")
+	host.Revision = 4
+	for _, c := range []struct {
+		name    string
+		known   []steer.Fact // Applied one after the other before the store returns.
+		copied  []steer.Fact // Listed when it returns, at 10 s.
+		written []steer.Fact // Written again at 11 s.
+		soon    effect       // At 10.4 s.
+		later   effect       // At 20 s.
+	}{
+		{
+			name:   "removed, in the copy until it lapses",
+			known:  []steer.Fact{startedFact("a", 7, 3, false), removedFact("targets/a", 9)},
+			copied: []steer.Fact{startedFact("a", 7, 3, false)},
+			written: []steer.Fact{
+				removedFact("targets/a", 6),
+			},
+		},
+		{
+			name:   "removed wrongly, in the copy to stay",
+			known:  []steer.Fact{startedFact("a", 7, 3, false), removedFact("targets/a", 9)},
+			copied: []steer.Fact{startedFact("a", 7, 3, false)},
+			later:  effect{targets: []string{"a"}},
+		},
+		{
+			name:    "removed, then written again",
+			known:   []steer.Fact{startedFact("a", 7, 3, false), removedFact("targets/a", 9)},
+			copied:  []steer.Fact{startedFact("a", 7, 3, false)},
+			written: []steer.Fact{startedFact("a", 7, 6, false)},
+			later:   effect{targets: []string{"a"}},
+		},
+		{
+			name:   "draining",
+			known:  []steer.Fact{startedFact("a", 7, 3, false), startedFact("a", 7, 9, true)},
+			copied: []steer.Fact{startedFact("a", 7, 3, false)},
+		},
+		{
+			name:    "started again since, and writes again",
+			known:   []steer.Fact{startedFact("a", 7, 3, false), startedFact("a", 8, 9, false)},
+			copied:  []steer.Fact{startedFact("a", 7, 3, true)},
+			written: []steer.Fact{startedFact("a", 8, 6, false)},
+			soon:    effect{targets: []string{"a"}},
+			later:   effect{targets: []string{"a"}},
+		},
+		{
+			name:   "started again since, and does not write",
+			known:  []steer.Fact{startedFact("a", 7, 3, false), startedFact("a", 8, 9, false)},
+			copied: []steer.Fact{startedFact("a", 7, 3, false)},
+			soon:   effect{targets: []string{"a"}},
+		},
+		{
+			name:  "registered since, and does not write",
+			known: []steer.Fact{startedFact("a", 7, 9, false), emptied, host},
+			soon:  effect{targets: []string{"a"}, hosts: 1, emptied: true},
+		},
+		{
+			name:   "host that left",
+			known:  []steer.Fact{host, removedFact(host.Key, 9)},
+			copied: []steer.Fact{host},
+			written: []steer.Fact{
+				removedFact(host.Key, 6),
+			},
+		},
+	} {
+		for _, returns := range []int{1, 2} {
+			t.Run(fmt.Sprint(c.name, "/", returns), func(t *testing.T) {
+				table := belief.NewTable(regions)
+				table.MarkReachable(start)
+				table.List(start, nil, 1)
+				for _, fact := range c.known {
+					table.Apply(at(1), fact)
+				}
+				for i := range returns {
+					table.Restore(at(9.5+0.5*float64(i)), c.copied, 5)
+				}
+				table.Expire(at(10.4))
+				assert.DeepEqual(t, view(table), c.soon, options)
+				for _, fact := range c.written {
+					table.Apply(at(11), fact)
+				}
+				table.Expire(at(20))
+				assert.DeepEqual(t, view(table), c.later, options)
+			})
+		}
+	}
+}
--- a/internal/edge/belief/snap.go
+++ b/internal/edge/belief/snap.go
@@ -79,7 +79,7 @@
 // snapshot returns the entries that hosts need from the platform. It returns nil while these are not certain: after an
 // outage, the table keeps entries that may no longer exist.
 func (t *table) snapshot(now time.Time, position steer.Position) *snapshot {
-	if !t.listed || !t.reachable || len(t.lapseDeadlines) > 0 || now.Sub(t.regainedAt) < reregisterGrace || t.index == nil {
+	if !t.listed || !t.reachable || len(t.lapseDeadlines) > 0 || len(t.held) > 0 || now.Sub(t.regainedAt) < reregisterGrace || t.index == nil {
 		return nil
 	}
 	s := &snapshot{
--- a/internal/edge/belief/stagger_test.go
+++ b/internal/edge/belief/stagger_test.go
@@ -119,24 +119,44 @@
 	}
 }
 
-// Guards against all hosts of a data centre listing the platform when its history was compacted.
+// Guards against all hosts of a data centre listing the platform when its history was compacted or replaced by an older copy.
 func TestOneListingPerDataCentre(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDataCentre(t, 33)
-		d.platform.put(targetFact("x", 0, false))
-		time.Sleep(2 * time.Second)
-		lists := d.platform.count().lists
-		d.platform.update(func() { d.platform.stalled = true })
-		d.platform.put(planFact(2, 0))
-		d.platform.put(removedFact("targets/x", 0))
-		d.platform.update(func() { d.platform.stalled, d.platform.compacted = false, d.platform.revision })
-		time.Sleep(2 * time.Second)
-		for i, f := range d.hosts {
-			assert.Equal(t, f.View().Index.Plan.Version, uint64(2), "host %d", i)
-			assert.Equal(t, len(f.View().Targets[service]), 0, "host %d", i)
-		}
-		assert.Assert(t, d.platform.count().lists <= lists+2, "%d listings", d.platform.count().lists-lists)
-		_, _, err := d.platform.Changes(context.Background(), d.platform.position(), 0)
-		assert.NilError(t, err)
-	})
+	for _, c := range []struct {
+		name     string
+		away     time.Duration // Time for which the platform does not answer.
+		restored bool
+		maxLists int
+		bound    time.Duration
+	}{
+		{name: "compacted", maxLists: 2, bound: 2 * time.Second},
+		{name: "restored", restored: true, maxLists: 2, bound: 2500 * time.Millisecond},
+		{name: "restored after an outage", away: 2 * time.Second, restored: true, maxLists: 8, bound: 2500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDataCentre(t, 47)
+				d.platform.put(targetFact("x", 0, false))
+				time.Sleep(2 * time.Second)
+				lists := d.platform.count().lists
+				d.platform.update(func() { d.platform.stalled, d.platform.down = true, c.away > 0 })
+				time.Sleep(c.away)
+				if c.restored {
+					d.platform.update(func() { d.platform.restore(d.platform.revision - 1) })
+				}
+				d.platform.put(planFact(2, 0))
+				d.platform.put(removedFact("targets/x", 0))
+				d.platform.update(func() {
+					d.platform.stalled, d.platform.down, d.platform.compacted = false, false, d.platform.revision
+				})
+				time.Sleep(c.bound)
+				for i, f := range d.hosts {
+					assert.Equal(t, f.View().Index.Plan.Version, uint64(2), "host %d", i)
+					assert.Equal(t, len(f.View().Targets[service]), 0, "host %d", i)
+				}
+				assert.Assert(t, d.platform.count().lists <= lists+c.maxLists, "%d listings", d.platform.count().lists-lists)
+				_, _, err := d.platform.Changes(context.Background(), d.platform.position(), 0)
+				assert.NilError(t, err)
+			})
+		})
+	}
 }
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -30,14 +30,15 @@
 
 // table holds the entries of the platform. It reads no clock: callers pass the time. It is not safe for concurrent use.
 type table struct {
-	regions          map[string]string // Region by data centre.
-	index            *index.Index
-	facts            map[string]steer.Fact
-	planKey          string               // Key of the plan in force.
-	coldUntil        map[string]time.Time // When targets have warmed up, by id.
-	removedRevisions map[string]uint64    // Revisions of removals, by key.
-	lapseDeadlines   map[string]time.Time // When lapsed entries are dropped unless they come back, by key.
-	listed           bool
+	regions        map[string]string // Region by data centre.
+	index          *index.Index
+	facts          map[string]steer.Fact
+	planKey        string               // Key of the plan in force.
+	coldUntil      map[string]time.Time // When targets have warmed up, by id.
+	removals       map[string]removal   // Removed entries, by key.
+	lapseDeadlines map[string]time.Time // When lapsed entries are dropped unless they come back, by key.
+	held           map[string]heldEntry // Entries of a copy of the store that are not used yet, by key.
+	listed         bool
 
 	planRevision uint64 // Revision of the entry that holds the plan in force.
 
@@ -53,11 +54,11 @@
 
 func newTable(regions map[string]string) *table {
 	return &table{
-		regions:          regions,
-		facts:            map[string]steer.Fact{},
-		coldUntil:        map[string]time.Time{},
-		removedRevisions: map[string]uint64{},
-		lapseDeadlines:   map[string]time.Time{},
+		regions:        regions,
+		facts:          map[string]steer.Fact{},
+		coldUntil:      map[string]time.Time{},
+		removals:       map[string]removal{},
+		lapseDeadlines: map[string]time.Time{},
 	}
 }
 
@@ -84,25 +85,15 @@
 			})
 		}
 	}
+	for key := range t.held {
+		if !present[key] {
+			delete(t.held, key)
+		}
+	}
 	t.listed = true
 	return changed, problems
 }
 
-// beginEra prepares for the first listing of a store that has returned from an older copy of its content: whatever revision an
-// entry has there, it is newer than what is known. Entries that are missing are kept for reregisterGrace, because what was
-// written since the copy is written again.
-func (t *table) beginEra(now time.Time) {
-	t.regainedAt = now
-	t.restoredAt = now
-	t.planRevision = 0
-	clear(t.removedRevisions)
-	clear(t.lapseDeadlines)
-	for key, fact := range t.facts {
-		fact.Revision = 0
-		t.facts[key] = fact
-	}
-}
-
 // apply applies one change and returns the errors of a rejected entry. It ignores changes that are not newer than the known
 // entry or its removal. A panic is returned as an error of the entry.
 func (t *table) apply(now time.Time, fact steer.Fact) (problems []error) {
@@ -114,9 +105,15 @@
 	if known, ok := t.facts[fact.Key]; ok && known.Revision >= fact.Revision {
 		return nil
 	}
-	if t.removedRevisions[fact.Key] >= fact.Revision && fact.Revision != 0 {
+	if t.removals[fact.Key].revision >= fact.Revision && fact.Revision != 0 {
 		return nil
 	}
+	if entry, ok := t.held[fact.Key]; ok {
+		if entry.fact.Revision >= fact.Revision {
+			return nil
+		}
+		delete(t.held, fact.Key)
+	}
 	if fact.Removed {
 		t.remove(now, fact.Key, fact.Revision)
 		return nil
@@ -131,17 +128,22 @@
 	if problem != nil {
 		problem = fmt.Errorf("entry %q: %w", fact.Key, problem)
 	}
+	t.put(now, fact)
+	if problem == nil {
+		return nil
+	}
+	return []error{problem}
+}
+
+// put makes an entry known, except for its plan, which the index keeps.
+func (t *table) put(now time.Time, fact steer.Fact) {
 	delete(t.lapseDeadlines, fact.Key)
-	delete(t.removedRevisions, fact.Key)
+	delete(t.removals, fact.Key)
 	if fact.Endpoint != nil {
 		t.updateWarmup(now, fact.Endpoint)
 	}
-	fact.Plan = nil // The index keeps it.
+	fact.Plan = nil
 	t.facts[fact.Key] = fact
-	if problem == nil {
-		return nil
-	}
-	return []error{problem}
 }
 
 // applyPlan puts a plan in force unless it is invalid or older than the one in force.
@@ -174,7 +176,11 @@
 	if !ok {
 		return
 	}
-	t.removedRevisions[key] = max(t.removedRevisions[key], revision)
+	t.removals[key] = removal{
+		revision: max(t.removals[key].revision, revision),
+		start:    startOf(known),
+		at:       now,
+	}
 	if known.Endpoint != nil && now.Sub(t.regainedAt) < lapseWindow || now.Sub(t.restoredAt) < lapseWindow {
 		if _, waiting := t.lapseDeadlines[key]; !waiting {
 			t.lapseDeadlines[key] = t.regainedAt.Add(reregisterGrace)
@@ -185,21 +191,27 @@
 	delete(t.lapseDeadlines, key)
 }
 
-// expire drops lapsed entries that did not come back in time, and reports whether there were any. It returns when to call it
-// next, zero if no entry is waiting.
-func (t *table) expire(now time.Time) (next time.Time, dropped bool) {
+// expire drops lapsed entries that did not come back in time and uses held ones that have stayed, and reports whether there were
+// any. It returns when to call it next, zero if no entry is waiting.
+func (t *table) expire(now time.Time) (next time.Time, changed bool) {
+	next, changed = t.releaseHeld(now)
+	for key, r := range t.removals {
+		if now.Sub(r.at) > removalRetention {
+			delete(t.removals, key)
+		}
+	}
 	for key, at := range t.lapseDeadlines {
 		if !at.After(now) {
 			delete(t.lapseDeadlines, key)
 			delete(t.facts, key)
-			dropped = true
+			changed = true
 			continue
 		}
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
-	return next, dropped
+	return next, changed
 }
 
 // markReachable records a successful call, and reports whether the platform was not reachable before.
