Log a key of requests under which targets close the connection

The logs named neither path nor body of a request, so one request that comes again could not be told from many. A line of a request whose target closed the connection without an answer now has request-key, equal for equal requests of a customer. Nothing decides by it yet.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -89,6 +89,7 @@
 	Reused          bool               // The connection had been used for other requests.
 	StaleConnection bool               // The target closed the reused connection while it was idle or instead of answering.
 	Sent            bool               // At least one byte may have reached the target.
+	Broke           bool               // The target closed the connection before the first byte of an answer.
 	Err             error              // Why there is no answer; nil with one.
 
 	// Release frees the memory reserved for the body. It is nil if none is reserved.
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -147,7 +147,9 @@
 	defer c.meter.RemoveLimit()
 	x.headBytesLeft = maxHeadBytes
 	if _, err := c.reader.Peek(1); err != nil {
-		return failed(fmt.Errorf("read answer: %w", err))
+		result := failed(fmt.Errorf("read answer: %w", err))
+		result.Broke = ctx.Err() == nil && closedByPeer(err)
+		return result
 	}
 	if !x.call.Retryable {
 		return x.readAnswer(ctx)
--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -81,6 +82,9 @@
 	if refusal != nil {
 		keyvals = append(keyvals, "reason", refusal.Reason, "verdict", refusal.Verdict, "retry-after", refusal.RetryAfter)
 	}
+	if slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.broke }) {
+		keyvals = append(keyvals, "request-key", j.key())
+	}
 	if len(j.attempts) > 0 {
 		keyvals = append(keyvals, "tries", describeAttempts(j.attempts))
 	}
@@ -140,6 +144,9 @@
 		}
 		fmt.Fprintf(&b, "%s load=%.1f load-age=%s home=%t reused=%t status=%d verdict=%s took=%s", t.target, t.estimatedLoad,
 			t.loadAge.Round(time.Millisecond), t.firstChoice, t.reused, t.status, t.verdict, t.elapsed.Round(time.Microsecond))
+		if t.broke {
+			b.WriteString(" broke=true")
+		}
 		if t.limit.Limited {
 			fmt.Fprintf(&b, " limit=%g", t.limit.PerSecond)
 		}
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -15,6 +15,7 @@
 	"monsoonhub.example/steer/internal/edge/belief"
 	"monsoonhub.example/steer/internal/edge/front"
 	"monsoonhub.example/steer/internal/edge/place"
+	"monsoonhub.example/steer/internal/edge/poison"
 	"monsoonhub.example/steer/internal/ops/guard"
 	"monsoonhub.example/steer/internal/quota/share"
 )
@@ -109,6 +110,12 @@
 	staleConn bool // The last attempt failed on a connection that had been idle.
 }
 
+// key returns the key by which equal requests of a caller are recognised.
+func (j *job) key() poison.Key {
+	r := j.request
+	return poison.KeyOf(r.Method, r.Host, r.Target, j.customer, r.Body)
+}
+
 // attempt describes one attempt to send a request to a target, for the log.
 type attempt struct {
 	target        string
@@ -117,6 +124,7 @@
 	firstChoice   bool
 	limit         steer.TargetLimit // Limit of the target that was known when it was chosen.
 	reused        bool
+	broke         bool // The target closed the connection without an answer.
 	status        int
 	verdict       steer.Verdict
 	elapsed       time.Duration
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -135,6 +135,7 @@
 		firstChoice:   choice.Home,
 		limit:         choice.Limit,
 		reused:        result.Reused,
+		broke:         result.Broke,
 		status:        result.Status,
 		verdict:       result.Verdict,
 		elapsed:       elapsed,
