--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -217,30 +216,10 @@
 func checkTargetThatLeaves(t *testing.T, s separation) {
 	t.Helper()
 	f := newNodeFleet(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	other := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Signature", "s")
-			w.Header().Set("Id", r.Header.Get("Id"))
-			_, _ = io.WriteString(w, "other")
-		}),
-	}
-	go func() { _ = other.Serve(listener) }()
-	t.Cleanup(func() { assert.NilError(t, other.Close()) })
-	f.catalog.put(steer.Fact{
-		Key: "targets/2",
-		Endpoint: &steer.Endpoint{
-			ID:         "target-2",
-			Service:    "reservas",
-			Address:    netip.MustParseAddrPort(listener.Addr().String()),
-			DataCentre: "golfo-a",
-			Slots:      9,
-		},
-	})
+	f.catalog.put(startTarget(t, "target-2", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "other") }))
 	waitUntil(t, "some requests go to the second target", func() bool { return f.hosts[0].request() == "200 other" })
 	f.change(s, steer.Fact{
-		Key:     "targets/1",
+		Key:     "target-1",
 		Removed: true,
 	})
 	f.checkAll(t, "200 other")
@@ -272,6 +251,52 @@
 	t.Run("target that leaves", func(t *testing.T) { checkTargetThatLeaves(t, relayed) })
 }
 
+// Guards against a request that crashes target after target, because each host judges every attempt by itself.
+func TestDeadlyRequestIsRejectedByAllHosts(t *testing.T) {
+	const allowed = 3 // Sends later than contactLimit after the third crash, as the platform's pages allow.
+	t.Parallel()
+	f := newNodeFleet(t)
+	var mu sync.Mutex // Guards crashes.
+	var crashes []time.Time
+	for i := range 8 {
+		f.catalog.put(startTarget(t, fmt.Sprint("fragile-", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/b/deadly" {
+				mu.Lock()
+				crashes = append(crashes, time.Now())
+				mu.Unlock()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "other")
+		}))
+	}
+	f.catalog.put(steer.Fact{
+		Key:     "target-1",
+		Removed: true,
+	})
+	time.Sleep(changeLimit)
+	last := 0
+	for n, end := 0, time.Now().Add(2*contactLimit); time.Now().Before(end); n++ {
+		h := f.hosts[n%len(f.hosts)]
+		status, _, err := post(h.client, h.address, "/b/deadly")
+		assert.NilError(t, err)
+		last = status
+		time.Sleep(20 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Assert(t, len(crashes) >= 3, "%d crashes", len(crashes))
+	late := 0
+	for _, at := range crashes[3:] {
+		if at.Sub(crashes[2]) > contactLimit {
+			late++
+		}
+	}
+	t.Logf("%d crashes, %d of them late", len(crashes), late)
+	assert.Check(t, late <= allowed, "%d late sends", late)
+	assert.Check(t, last == http.StatusServiceUnavailable, "status %d", last)
+	f.checkAll(t, "200 other")
+}
+
 // Guards against requests that are cut while all hosts are replaced one after the other under load.
 func TestRollingReplacementCutsNoRequest(t *testing.T) {
 	t.Parallel()
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -203,18 +203,10 @@
 		facts:  map[string]steer.Fact{},
 		leases: map[steer.Lease]string{},
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	target := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(latency)
-			w.Header().Set("Signature", "s")
-			w.Header().Set("Id", r.Header.Get("Id"))
-			_, _ = io.WriteString(w, "done "+r.Header.Get("Customer"))
-		}),
-	}
-	go func() { _ = target.Serve(listener) }()
-	t.Cleanup(func() { _ = target.Close() })
+	target := startTarget(t, "target-1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(latency)
+		_, _ = io.WriteString(w, "done "+r.Header.Get("Customer"))
+	})
 	c.put(steer.Fact{
 		Key: "plan",
 		Plan: &steer.Plan{
@@ -240,17 +232,34 @@
 			}},
 		},
 	})
-	c.put(steer.Fact{
-		Key: "targets/1",
+	c.put(target)
+	return c
+}
+
+// startTarget starts a target and returns its registration, whose key is the ID.
+func startTarget(t *testing.T, id string, respond http.HandlerFunc) steer.Fact {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	target := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signature", "s")
+			w.Header().Set("Id", r.Header.Get("Id"))
+			respond(w, r)
+		}),
+	}
+	go func() { _ = target.Serve(listener) }()
+	t.Cleanup(func() { _ = target.Close() })
+	return steer.Fact{
+		Key: id,
 		Endpoint: &steer.Endpoint{
-			ID:         "target-1",
+			ID:         id,
 			Service:    "reservas",
 			Address:    netip.MustParseAddrPort(listener.Addr().String()),
 			DataCentre: "golfo-a",
 			Slots:      9,
 		},
-	})
-	return c
+	}
 }
 
 func waitUntil(t *testing.T, condition string, ok func() bool) {
@@ -264,7 +273,11 @@
 }
 
 func book(client *http.Client, address netip.AddrPort) (int, string, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address.String()+"/b/1", nil)
+	return post(client, address, "/b/1")
+}
+
+func post(client *http.Client, address netip.AddrPort, path string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address.String()+path, nil)
 	if err != nil {
 		return 0, "", err
 	}
