Reject requests that have crashed several targets, on all hosts

Cause: each host judged each attempt by itself. A connection that ends without an answer was a fault of the target, so the request was sent to the next one, and the next host knew nothing of it. Class: evidence on a request that ends with one host's attempt.

Change: hosts collect which requests lost which targets and tell each other in the rounds of messages. A request that lost three targets, and that no target has answered since, is rejected at once with 503, 'not run' and the time left of ten minutes. Requests that only ran beside it are not condemned: the request with the most lost targets comes first, and these do not count for others. One answer by a target, at any host, clears a request. Condemned requests are told again every 2 s, for hosts that restart.

Why three: two would condemn requests that are sent again while many targets crash for another reason. Why all hosts: with 470, one host gets a request that comes 14 times a second once in half a minute.

TestDeadlyRequestIsRejectedByAllHosts: 139 crashes, 38 late before; 11 and 0 after. TestFleetRejectsDeadlyRequest plays 8 to 470 hosts, restarts and regions that lose each other: 7 to 44 crashes, none late, no ordinary request rejected at the end.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -23,6 +23,7 @@
 	"monsoonhub.example/steer/internal/edge/join"
 	"monsoonhub.example/steer/internal/edge/pass"
 	"monsoonhub.example/steer/internal/edge/place"
+	"monsoonhub.example/steer/internal/edge/poison"
 	"monsoonhub.example/steer/internal/edge/setup"
 	"monsoonhub.example/steer/internal/ops/guard"
 	"monsoonhub.example/steer/internal/ops/telem"
@@ -81,6 +82,7 @@
 	quotas     *share.Table
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
 	targets    *back.Pool
+	poison     *poison.Table
 	server     *front.Server
 	auxServers []*http.Server
 
@@ -176,6 +178,10 @@
 		Memory:  int64(s.MemoryMB) << 20,
 		Metrics: c.Metrics,
 	})
+	n.poison = poison.New(poison.Config{
+		Logger:  c.Logger,
+		Metrics: c.Metrics,
+	})
 	n.follower = belief.New(belief.Config{
 		Catalog:         c.Catalog,
 		Host:            s.HostID,
@@ -197,6 +203,8 @@
 		OnNotes:      n.placer.MergeNotes,
 		Limits:       n.placer.LimitNotes,
 		OnLimits:     n.placer.MergeLimitNotes,
+		Crashes:      n.poison.Reports,
+		OnCrashes:    n.poison.Merge,
 		OnPeerStatus: n.handlePeerStatus,
 		Changes:      n.handleChanges,
 		Logger:       c.Logger,
@@ -228,6 +236,7 @@
 		Placer:  n.placer,
 		Quotas:  n.quotas,
 		Targets: n.targets,
+		Poison:  n.poison,
 		RetryBudget: pass.RetryBudgetConfig{
 			Ratio: s.RetryRatio,
 			Slack: s.RetrySlack,
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -48,6 +48,7 @@
 	Placer      *place.Placer
 	Quotas      *share.Table
 	Targets     *back.Pool
+	Poison      *poison.Table // Nil means that no request is rejected for the targets that it crashed.
 	RetryBudget RetryBudgetConfig
 	Synced      <-chan struct{}  // Closed once the host has a plan and knows the targets. Nil means that it has them.
 	Draining    func() bool      // Reports whether the host is shutting down and refuses new requests. Nil means never.
@@ -73,6 +74,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Poison == nil {
+		c.Poison = poison.New(poison.Config{})
+	}
 	if c.Draining == nil {
 		c.Draining = func() bool { return false }
 	}
@@ -108,12 +112,17 @@
 	sent           int      // Attempts that may have reached a target.
 
 	staleConn bool // The last attempt failed on a connection that had been idle.
+
+	requestKey poison.Key // 0 until it is needed.
 }
 
 // key returns the key by which equal requests of a caller are recognised.
 func (j *job) key() poison.Key {
-	r := j.request
-	return poison.KeyOf(r.Method, r.Host, r.Target, j.customer, r.Body)
+	if j.requestKey == 0 {
+		r := j.request
+		j.requestKey = poison.KeyOf(r.Method, r.Host, r.Target, j.customer, r.Body)
+	}
+	return j.requestKey
 }
 
 // attempt describes one attempt to send a request to a target, for the log.
@@ -215,6 +224,9 @@
 	if r.BodyRefused {
 		return j, newRefusal(steer.ReasonMemory, http.StatusServiceUnavailable, addJitter(minRetryAfter))
 	}
+	if refusal := h.checkDeadly(j); refusal != nil {
+		return j, refusal
+	}
 	if j.customer != nil {
 		if ok, wait := h.config.Quotas.Take(r.Arrived, j.customer.Name); !ok {
 			return j, newRefusal(steer.ReasonRate, http.StatusTooManyRequests, addJitter(wait))
@@ -228,6 +240,17 @@
 	return j, nil
 }
 
+// checkDeadly returns a refusal if equal requests have crashed several targets.
+func (h *Handler) checkDeadly(j *job) *steer.Refusal {
+	if !h.config.Poison.InUse() {
+		return nil
+	}
+	if wait, rejected := h.config.Poison.Rejects(time.Now(), j.key()); rejected {
+		return newRefusal(steer.ReasonDeadly, http.StatusServiceUnavailable, wait)
+	}
+	return nil
+}
+
 // minRetryAfter is the time after which a refused caller may retry at another host.
 const minRetryAfter = 50 * time.Millisecond
 
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -107,6 +107,12 @@
 	})
 	now := time.Now()
 	elapsed := now.Sub(started)
+	switch {
+	case result.Broke:
+		h.config.Poison.RecordCrash(now, j.key(), &choice.Target.Endpoint)
+	case result.Signed && result.Verdict == steer.Ran && h.config.Poison.InUse():
+		h.config.Poison.RecordAnswer(now, j.key())
+	}
 	timedOut := result.Status == 0 && errors.Is(result.Err, context.DeadlineExceeded)
 	unfinished := errors.Is(result.Err, back.ErrUnfinished)
 	noMemory := errors.Is(result.Err, back.ErrNoMemory)
@@ -158,6 +164,9 @@
 	if mayHaveRun && !j.route.Kind.Idempotent() {
 		return newRefusal(steer.ReasonTargetFailed, http.StatusBadGateway, 0)
 	}
+	if refusal := h.checkDeadly(j); refusal != nil {
+		return refusal
+	}
 	if j.sent >= j.route.MaxAttempts {
 		return newRefusal(steer.ReasonCapacity, http.StatusServiceUnavailable, addJitter(minRetryAfter))
 	}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -39,7 +39,7 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits and Changes are
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes and Changes are
 // optional.
 type Config struct {
 	Host         string
@@ -52,6 +52,8 @@
 	OnNotes      func(now time.Time, notes []steer.TargetObservation) // Called with observations of other hosts of the region.
 	Limits       func(now time.Time) []steer.LimitObservation         // Returns own news of limits since the last round.
 	OnLimits     func(now time.Time, limits []steer.LimitObservation) // Called with limits that other hosts of any region saw.
+	Crashes      func(now time.Time) []steer.CrashReport              // Returns the crashes to be reported in this round.
+	OnCrashes    func(now time.Time, crashes []steer.CrashReport)     // Called with crashes that another host reported.
 	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
 	Changes      func(now time.Time, from string, c steer.Changes)    // Called with changes of entries that another host relayed.
 	Logger       log.Logger                                           // Nil means no logging.
@@ -138,6 +140,12 @@
 	if c.OnLimits == nil {
 		c.OnLimits = func(time.Time, []steer.LimitObservation) {}
 	}
+	if c.Crashes == nil {
+		c.Crashes = func(time.Time) []steer.CrashReport { return nil }
+	}
+	if c.OnCrashes == nil {
+		c.OnCrashes = func(time.Time, []steer.CrashReport) {}
+	}
 	if c.Changes == nil {
 		c.Changes = func(time.Time, string, steer.Changes) {}
 	}
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -34,8 +34,9 @@
 	ownUsage := g.config.Usage(now)
 	notes := g.config.Notes(now)
 	limits := g.config.Limits(now)
+	crashes := g.config.Crashes(now)
 	hint, platformReachable := g.config.Hint(now)
-	if othersUsage := g.sendRound(now, ownUsage, notes, limits, hint, platformReachable); othersUsage != nil {
+	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, hint, platformReachable); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -44,11 +45,11 @@
 	}
 }
 
-// sendRound sends one round of messages with the notes and limits that this host had at observedAt. If this host is a leader it
+// sendRound sends one round of messages with the notes, limits and crashes that this host had at observedAt. If this host is a leader it
 // returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
 	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
-	hint Hint, platformReachable bool,
+	crashes []steer.CrashReport, hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -62,6 +63,9 @@
 	for i := range limits {
 		limits[i].Age += now.Sub(observedAt)
 	}
+	for i := range crashes {
+		crashes[i].Age += now.Sub(observedAt)
+	}
 	g.round++
 	g.updateLinks(now)
 	g.report(now)
@@ -72,6 +76,7 @@
 		ReachableFor:      hint.ReachableFor.Milliseconds(),
 		Emptied:           hint.Emptied,
 		Cold:              coldMillis(hint.Cold),
+		Crashes:           toWireCrashes(crashes),
 	}
 	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
 	g.localLimits.add(now, limits)
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -37,6 +37,7 @@
 	RemoteNotes       []note             `cbor:"passed,omitempty"`        // Observations of other data centres of the region, passed on.
 	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
+	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 }
 
@@ -63,6 +64,15 @@
 	Age       int64 // Milliseconds.
 }
 
+// crashNote is the encoding of a steer.CrashReport.
+type crashNote struct {
+	_        struct{} `cbor:",toarray"`
+	Request  uint64
+	Target   uint64
+	Answered bool
+	Age      int64 // Milliseconds.
+}
+
 // remoteDataCentre is the report of another data centre that the sender passes on.
 type remoteDataCentre struct {
 	DataCentre string   `cbor:"data-centre"`
@@ -274,6 +284,32 @@
 	return out
 }
 
+func toWireCrashes(list []steer.CrashReport) []crashNote {
+	out := make([]crashNote, 0, len(list))
+	for _, c := range list {
+		out = append(out, crashNote{
+			Request:  c.Request,
+			Target:   c.Target,
+			Answered: c.Answered,
+			Age:      c.Age.Milliseconds(),
+		})
+	}
+	return out
+}
+
+func fromWireCrashes(list []crashNote) []steer.CrashReport {
+	out := make([]steer.CrashReport, 0, len(list))
+	for _, n := range list {
+		out = append(out, steer.CrashReport{
+			Request:  n.Request,
+			Target:   n.Target,
+			Answered: n.Answered,
+			Age:      time.Duration(n.Age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 func coldMillis(cold map[string]time.Duration) map[string]int64 {
 	out := make(map[string]int64, len(cold))
 	for id, left := range cold {
--- a/platform.go
+++ b/platform.go
@@ -122,6 +122,14 @@
 	Age    time.Duration // Time since the answer arrived.
 }
 
+// CrashReport says that a target closed its connection without an answer to a request, or that a target answered the request.
+type CrashReport struct {
+	Request  uint64        // Key of the request, the same on all hosts.
+	Target   uint64        // Key of the target's process, the same on all hosts; 0 with Answered.
+	Answered bool          // A target answered the request.
+	Age      time.Duration // Time since it happened.
+}
+
 // HostEntry is the registration of a host on the platform.
 type HostEntry struct {
 	ID          string         `json:"id"`
