Register rejected requests on the platform, for hosts that start

What callers would see: after all hosts were killed, a request that had been condemned crashes targets again until hosts have learned it anew; a host that reaches no other host learns it alone.

Cause: what hosts know of deadly requests lasted in their memory only, and reached others through messages between hosts only. What must last lies on the platform.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -479,6 +479,9 @@
 	case fact.Host != nil:
 		_ = level.Info(f.logger).Log("msg", "Host changed.", "host", fact.Host.ID, "incarnation", fact.Host.Incarnation,
 			"revision", fact.Revision)
+	case fact.Rejected != 0:
+		_ = level.Info(f.logger).Log("msg", "Request is rejected by all hosts.", "request-key", fmt.Sprintf("%016x", fact.Rejected),
+			"revision", fact.Revision)
 	case fact.Emptied != "":
 		_ = level.Info(f.logger).Log("msg", "Data centre is emptied.", "data-centre", fact.Emptied, "revision", fact.Revision)
 	}
--- a/internal/edge/belief/snap.go
+++ b/internal/edge/belief/snap.go
@@ -94,7 +94,7 @@
 				return nil
 			}
 			fact.Plan = t.index.Plan
-		case fact.Endpoint == nil && fact.Host == nil && fact.Emptied == "":
+		case fact.Endpoint == nil && fact.Host == nil && fact.Emptied == "" && fact.Rejected == 0:
 			continue
 		}
 		s.Facts = append(s.Facts, fact)
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -263,6 +263,7 @@
 		Index:          t.index,
 		Targets:        map[string][]*RegisteredTarget{},
 		Emptied:        map[string]bool{},
+		Rejected:       map[uint64]bool{},
 		Listed:         t.listed,
 		Reachable:      t.reachable,
 		LastContact:    t.lastContact,
@@ -275,6 +276,8 @@
 		switch {
 		case fact.Emptied != "":
 			v.Emptied[fact.Emptied] = true
+		case fact.Rejected != 0:
+			v.Rejected[fact.Rejected] = true
 		case fact.Host != nil:
 			v.Hosts = append(v.Hosts, *fact.Host)
 		case fact.Endpoint != nil && !fact.Endpoint.Draining:
--- a/internal/edge/belief/view.go
+++ b/internal/edge/belief/view.go
@@ -14,6 +14,7 @@
 	Index          *index.Index                   // Nil before the first plan.
 	Targets        map[string][]*RegisteredTarget // Targets by service, sorted by id, without draining ones.
 	Emptied        map[string]bool                // Data centres whose targets get no requests.
+	Rejected       map[uint64]bool                // Keys of requests that are rejected, as in steer.Fact.
 	Hosts          []steer.HostEntry              // Registered hosts, sorted by id; may include this host.
 	Listed         bool                           // The entries have been listed at least once.
 	Reachable      bool                           // The last call to the platform succeeded.
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -258,6 +258,11 @@
 	f := newNodeFleet(t)
 	var mu sync.Mutex // Guards crashes.
 	var crashes []time.Time
+	crashCount := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(crashes)
+	}
 	for i := range 8 {
 		f.catalog.put(startTarget(t, fmt.Sprint("fragile-", i), func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/b/deadly" {
@@ -282,19 +287,30 @@
 		last = status
 		time.Sleep(20 * time.Millisecond)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	assert.Assert(t, len(crashes) >= 3, "%d crashes", len(crashes))
+	assert.Assert(t, crashCount() >= 3, "%d crashes", crashCount())
 	late := 0
+	mu.Lock()
 	for _, at := range crashes[3:] {
 		if at.Sub(crashes[2]) > contactLimit {
 			late++
 		}
 	}
-	t.Logf("%d crashes, %d of them late", len(crashes), late)
+	mu.Unlock()
+	t.Logf("%d crashes, %d of them late", crashCount(), late)
 	assert.Check(t, late <= allowed, "%d late sends", late)
 	assert.Check(t, last == http.StatusServiceUnavailable, "status %d", last)
 	f.checkAll(t, "200 other")
+	f.shutDown()
+	started := f.startHost(t, "started", "golfo-a")
+	f.hosts = []*fleetHost{started}
+	waitUntil(t, "the host is ready", started.funcs.ready)
+	before := crashCount()
+	for range 20 {
+		status, _, err := post(started.client, started.address, "/b/deadly")
+		assert.NilError(t, err)
+		assert.Check(t, status == http.StatusServiceUnavailable, "status %d after the restart of all hosts", status)
+	}
+	assert.Check(t, crashCount() == before, "%d crashes after the restart of all hosts", crashCount()-before)
 }
 
 // Guards against requests that are cut while all hosts are replaced one after the other under load.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -83,6 +83,7 @@
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
 	targets    *back.Pool
 	poison     *poison.Table
+	recorder   *poison.Recorder
 	server     *front.Server
 	auxServers []*http.Server
 
@@ -223,6 +224,12 @@
 		Logger:  c.Logger,
 		Metrics: c.Metrics,
 	})
+	n.recorder = poison.NewRecorder(poison.RecorderConfig{
+		Catalog: c.Catalog,
+		Table:   n.poison,
+		Logger:  c.Logger,
+		Metrics: c.Metrics,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.wait.Add(1)
@@ -322,6 +329,7 @@
 		fleet.MaxHosts = max(fleet.Hosts, startupHostCount)
 	}
 	n.placer.Update(now, view, fleet)
+	n.poison.SetRegistered(now, view.Rejected)
 	if view.Listed && view.Index != nil {
 		n.syncOnce.Do(func() { close(n.synced) })
 	}
@@ -390,6 +398,7 @@
 	gossiper.Leave()
 	time.Sleep(leaveFlushTime)
 	gossiper.Stop()
+	n.recorder.Stop()
 	n.follower.Stop()
 	n.targets.Stop()
 	for _, s := range n.auxServers {
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -137,6 +137,18 @@
 	return nil
 }
 
+func (c *catalog) Reject(_ context.Context, request uint64, lease steer.Lease) error {
+	key := fmt.Sprint("rejected/", request)
+	c.mu.Lock()
+	c.leases[lease] = key
+	c.mu.Unlock()
+	c.put(steer.Fact{
+		Key:      key,
+		Rejected: request,
+	})
+	return nil
+}
+
 // platformFuncs holds the functions of a host that the platform calls.
 type platformFuncs struct {
 	lookup func(name, region, dataCentre string) ([]netip.AddrPort, time.Duration)
--- a/internal/edge/poison/poison.go
+++ b/internal/edge/poison/poison.go
@@ -34,6 +34,10 @@
 	// maxCrashes bounds the crashes that a table holds, in a few hundred KB. The oldest eighth makes room.
 	maxCrashes = 4096
 
+	// settleTime is the time for which a request must have been condemned before it is registered on the platform. Reports of
+	// other hosts, which may explain its crashes, arrive within some rounds of messages.
+	settleTime = time.Second
+
 	// reportTime is the time for which a crash or an answer is reported after this host learned of it: some rounds of messages,
 	// because each may be lost.
 	reportTime = time.Second
@@ -60,9 +64,10 @@
 
 	mu         sync.Mutex
 	requests   map[Key]*request
-	answers    map[Key]answer // Last answers to requests that had crashes.
-	crashes    int            // In all requests.
-	repeatedAt time.Time      // When condemned requests were last reported.
+	registered map[Key]time.Time // Requests that are registered on the platform as rejected, and when this host learned of it.
+	answers    map[Key]answer    // Last answers to requests that had crashes.
+	crashes    int               // In all requests.
+	repeatedAt time.Time         // When condemned requests were last reported.
 }
 
 // request holds the crashes of one request.
@@ -70,6 +75,8 @@
 	crashes   map[uint64]crash // By target, as targetKey returns it.
 	lastCrash time.Time
 	condemned bool
+	since     time.Time // When it was condemned.
+	own       bool      // This host saw one of the crashes.
 }
 
 // crash is the loss of one target under one request.
@@ -93,34 +100,88 @@
 		c.Metrics = metrics.NewRegistry()
 	}
 	return &Table{
-		logger:    log.With(c.Logger, "part", "poison"),
-		condemned: metrics.GetOrRegisterCounter("poison-condemned", c.Metrics),
-		requests:  map[Key]*request{},
-		answers:   map[Key]answer{},
+		logger:     log.With(c.Logger, "part", "poison"),
+		condemned:  metrics.GetOrRegisterCounter("poison-condemned", c.Metrics),
+		requests:   map[Key]*request{},
+		registered: map[Key]time.Time{},
+		answers:    map[Key]answer{},
 	}
 }
 
-// InUse reports whether the table holds a crash. Without one, no request is rejected and no answer needs to be recorded.
+// InUse reports whether the table holds a crash or a registered request. Otherwise no request is rejected and no answer needs to
+// be recorded.
 func (t *Table) InUse() bool { return t.inUse.Load() }
 
 // Rejects reports whether a request is condemned, and for how much longer it is rejected.
 func (t *Table) Rejects(now time.Time, key Key) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.requests[key]
-	if r == nil || !r.condemned {
-		return 0, false
-	}
-	left := r.lastCrash.Add(rejectTime).Sub(now)
+	left := t.rejectedFor(now, key)
 	return left, left > 0
 }
 
+// rejectedFor returns for how much longer a request is rejected. The caller holds mu.
+func (t *Table) rejectedFor(now time.Time, key Key) time.Duration {
+	var left time.Duration
+	if r := t.requests[key]; r != nil && r.condemned {
+		left = r.lastCrash.Add(rejectTime).Sub(now)
+	}
+	if learnedAt, ok := t.registered[key]; ok {
+		left = max(left, learnedAt.Add(rejectTime).Sub(now))
+	}
+	return left
+}
+
+// SetRegistered replaces the requests that are registered on the platform as rejected.
+func (t *Table) SetRegistered(now time.Time, keys map[uint64]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.registered {
+		if !keys[uint64(key)] {
+			delete(t.registered, key)
+		}
+	}
+	for key := range keys {
+		if _, known := t.registered[Key(key)]; !known {
+			t.registered[Key(key)] = now
+		}
+	}
+	t.updateInUse()
+}
+
+// unregistered returns the requests that this host must register: it saw them crash a target, they have been condemned for
+// settleTime, and they are rejected but not registered.
+func (t *Table) unregistered(now time.Time) []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var keys []Key
+	for key, r := range t.requests {
+		_, registered := t.registered[key]
+		if r.own && r.condemned && now.Sub(r.since) >= settleTime && !registered && t.rejectedFor(now, key) > 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// isCondemned reports whether the known crashes condemn a request.
+func (t *Table) isCondemned(key Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.requests[key]
+	return r != nil && r.condemned
+}
+
 // RecordCrash records that a target closed the connection without an answer to a request.
 func (t *Table) RecordCrash(now time.Time, key Key, target *steer.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.add(now, now, key, targetKey(target)) {
-		t.condemn()
+	decisive := t.add(now, now, key, targetKey(target))
+	if r := t.requests[key]; r != nil {
+		r.own = true
+	}
+	if decisive {
+		t.condemn(now)
 	}
 }
 
@@ -149,7 +210,7 @@
 		}
 	}
 	if decisive {
-		t.condemn()
+		t.condemn(now)
 	}
 }
 
@@ -265,7 +326,7 @@
 
 // condemn decides which requests are condemned. The request that lost the most targets comes first; a target that it lost does
 // not count for the others, which may only have run beside it. The caller holds mu.
-func (t *Table) condemn() {
+func (t *Table) condemn(now time.Time) {
 	var suspects []Key
 	for key, r := range t.requests {
 		if len(r.crashes) >= minCrashes {
@@ -291,13 +352,13 @@
 			}
 		}
 		if condemned != r.condemned {
-			t.setCondemned(key, r, condemned)
+			t.setCondemned(now, key, r, condemned)
 		}
 	}
 }
 
-func (t *Table) setCondemned(key Key, r *request, condemned bool) {
-	r.condemned = condemned
+func (t *Table) setCondemned(now time.Time, key Key, r *request, condemned bool) {
+	r.condemned, r.since = condemned, now
 	if !condemned {
 		_ = level.Info(t.logger).Log("msg", "Request is no longer rejected, another one explains its crashes.", "request-key", key)
 		return
@@ -321,7 +382,11 @@
 			delete(t.answers, key)
 		}
 	}
-	t.inUse.Store(t.crashes > 0 || len(t.answers) > 0)
+	t.updateInUse()
+}
+
+func (t *Table) updateInUse() {
+	t.inUse.Store(t.crashes > 0 || len(t.answers) > 0 || len(t.registered) > 0)
 }
 
 // dropOldest drops the oldest crashes, those of condemned requests last. The caller holds mu.
--- a/internal/edge/poison/poison_test.go
+++ b/internal/edge/poison/poison_test.go
@@ -328,7 +328,7 @@
 		},
 		{
 			name: "two regions lose each other", hosts: 72, dataCentres: 9, perSecond: 30,
-			disturb: func(f *fleet, now time.Time) {
+			disturb: func(f *fleet, _ time.Time) {
 				f.link = func(from, to int) bool { return from/24 == to/24 || from/24 == 2 || to/24 == 2 }
 			},
 		},
--- a/platform.go
+++ b/platform.go
@@ -150,6 +150,7 @@
 	Endpoint *Endpoint
 	Host     *HostEntry
 	Emptied  string // Data centre whose targets must receive no requests; empty for other entries.
+	Rejected uint64 // Key of a request that hosts reject, as in CrashReport; 0 for other entries.
 	Problem  error  // Why the entry could not be decoded.
 }
 
@@ -190,6 +191,8 @@
 	Revoke(ctx context.Context, lease Lease) error
 	// Announce registers a host until its lease ends. It fails with ErrLeaseLost.
 	Announce(ctx context.Context, host HostEntry, lease Lease) error
+	// Reject registers a request, by its key, that hosts reject until the lease ends. It fails with ErrLeaseLost.
+	Reject(ctx context.Context, request uint64, lease Lease) error
 }
 
 // Lease is a lease of the platform's store. It is lost when its era ends: a store that returns from an older copy may not know
