Send ready responses when a host's time to stop ends

Cause: at the end of its time the host closed all connections, with the responses that waited their turn.

Change: when the time ends, the contexts of the handlers end first.

TestReadyResponsesAreSentWhenTimeToStopEnds failed with an unexpected EOF before.

--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -22,9 +22,12 @@
 	socket net.Conn
 	meter  *meter.Reader
 	reader *bufio.Reader
-	ctx    context.Context
+	ctx    context.Context // Ends with the connection.
 	cancel context.CancelFunc
 
+	handlerCtx   context.Context // Ends with the connection, or when the handlers must return.
+	stopHandlers context.CancelFunc
+
 	mu      sync.Mutex
 	notFull *sync.Cond
 	queue   []*exchange // Requests in progress, oldest first.
@@ -56,13 +59,16 @@
 func newConn(s *Server, socket net.Conn) *conn {
 	m := meter.New(socket)
 	ctx, cancel := context.WithCancel(context.Background())
+	handlerCtx, stopHandlers := context.WithCancel(ctx)
 	c := &conn{
-		server: s,
-		socket: socket,
-		meter:  m,
-		reader: bufio.NewReaderSize(m, readBufferSize),
-		ctx:    ctx,
-		cancel: cancel,
+		server:       s,
+		socket:       socket,
+		meter:        m,
+		reader:       bufio.NewReaderSize(m, readBufferSize),
+		ctx:          ctx,
+		cancel:       cancel,
+		handlerCtx:   handlerCtx,
+		stopHandlers: stopHandlers,
 	}
 	c.notFull = sync.NewCond(&c.mu)
 	return c
@@ -254,7 +260,7 @@
 		r := Response{
 			Status: http.StatusBadGateway,
 		}
-		c.server.guard.Do("handler", func() { r = c.server.config.Handler(c.ctx, e.request) })
+		c.server.guard.Do("handler", func() { r = c.server.config.Handler(c.handlerCtx, e.request) })
 		e.request.Body = nil // The exchange waits in the queue until earlier responses are written.
 		e.body.release()
 		c.mu.Lock()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -42,6 +42,10 @@
 	shortAcceptIdleTimeout = time.Millisecond
 	shortAcceptAfter       = 100 * time.Millisecond
 
+	// finalFlushTime is the time for which a server that must stop waits until the handlers have returned and their responses are
+	// written. Handlers return as soon as their context ends.
+	finalFlushTime = 150 * time.Millisecond
+
 	// acceptBackoff is the pause after a failed accept, for example when file descriptors run out.
 	acceptBackoff = 20 * time.Millisecond
 )
@@ -254,18 +258,15 @@
 }
 
 // Close shuts the server down: it accepts the connections that are pending, closes idle ones, and waits until all requests in
-// progress are answered. If ctx ends first, it aborts the remaining connections and returns the error of ctx.
+// progress are answered. If ctx ends first, it ends the contexts of the handlers, waits for their responses for finalFlushTime,
+// aborts the remaining connections and returns the error of ctx.
 func (s *Server) Close(ctx context.Context) error {
 	s.DisableKeepAlives()
 	started := time.Now()
 	s.shutdownStarted.Store(&started)
 	s.shuttingDown.Store(true)
 	s.setAcceptDeadline()
-	s.mu.Lock()
-	for c := range s.conns {
-		c.closeIdle()
-	}
-	s.mu.Unlock()
+	s.eachConn((*conn).closeIdle)
 	select {
 	case <-s.acceptDone:
 	case <-ctx.Done():
@@ -281,11 +282,23 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for c := range s.conns {
-			c.abort()
-		}
-		return ctx.Err()
+	}
+	s.eachConn(func(c *conn) { c.stopHandlers() })
+	timer := time.NewTimer(finalFlushTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	s.eachConn((*conn).abort)
+	return ctx.Err()
+}
+
+// eachConn calls a function for each open connection.
+func (s *Server) eachConn(f func(c *conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		f(c)
 	}
 }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -182,6 +182,32 @@
 	assert.NilError(t, idleConn.Close())
 }
 
+// Guards against responses that are ready and lost because an earlier request of the connection still runs when the time to stop
+// ends.
+func TestReadyResponsesAreSentWhenTimeToStopEnds(t *testing.T) {
+	s, address := startServer(t, func(ctx context.Context, r *front.Request) front.Response {
+		if r.Target != "/slow" {
+			return echo(ctx, r)
+		}
+		<-ctx.Done()
+		return front.Response{
+			Status: http.StatusGatewayTimeout,
+		}
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, s.Close(ctx), context.DeadlineExceeded)
+	status, _, _ := readResponse(t, r)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	status, body, _ := readResponse(t, r)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "/1|")
+}
+
 // Guards against a response that looks complete to the caller although the handler returned none.
 func TestCloseConnSendsNoResponse(t *testing.T) {
 	_, address := startServer(t, func(context.Context, *front.Request) front.Response {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -49,7 +49,8 @@
 	// leaveFlushTime is the time to send the last message to the other hosts.
 	leaveFlushTime = 50 * time.Millisecond
 
-	// shutdownMargin is the time of the grace period that Shutdown leaves unused, so that the process ends within it.
+	// shutdownMargin is the time of the grace period that Shutdown leaves for the responses to requests that have not ended, for the
+	// last message to other hosts and for the end of the process.
 	shutdownMargin = 300 * time.Millisecond
 )
 
