Refuse requests that a stopping host would have to cut

What callers saw: requests that a stopping host took and closed without an answer at the end of its grace period (LOST).

Cause: a stopping host took every request for half of its grace period, also of routes whose requests last longer than the time it had left.

Change: it refuses a request with 'not run' and a short Retry-After, so that it goes to another host, if its deadline, or twice the latency objective of its route, lies beyond the end of its time.

TestStoppingHostRefusesWhatCannotEnd: the request is taken before, refused now.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -90,9 +90,10 @@
 
 	synced      chan struct{} // Closed once all parts have the first plan and list of targets.
 	syncOnce    sync.Once
-	usesLeaders bool        // The hosts of the data centre report through leaders. Used only by the goroutine of watchViews.
-	stopping    atomic.Bool // Shutdown has begun. The host is not ready.
-	draining    atomic.Bool // New requests are refused.
+	usesLeaders bool                      // The hosts of the data centre report through leaders. Used only by the goroutine of watchViews.
+	stopping    atomic.Bool               // Shutdown has begun. The host is not ready.
+	draining    atomic.Bool               // New requests are refused.
+	stopsAt     atomic.Pointer[time.Time] // When Shutdown cuts the requests in progress; nil before it has begun.
 	cancel      context.CancelFunc
 	wait        sync.WaitGroup
 }
@@ -250,7 +251,13 @@
 			Slack: s.RetrySlack,
 			Hosts: n.quotas.Hosts,
 		},
-		Synced:   n.synced,
+		Synced: n.synced,
+		StopsAt: func() time.Time {
+			if at := n.stopsAt.Load(); at != nil {
+				return *at
+			}
+			return time.Time{}
+		},
 		Draining: n.draining.Load,
 		Logger:   c.Logger,
 		Metrics:  c.Metrics,
@@ -380,9 +387,11 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	startedAt := time.Now()
 	grace := n.current.Load().GracePeriod()
+	stopsAt := startedAt.Add(grace - shutdownMargin)
+	n.stopsAt.Store(&stopsAt)
 	n.stopping.Store(true)
 	_ = level.Info(n.logger).Log("msg", "Host is stopping.", "grace", grace)
-	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(grace-shutdownMargin))
+	ctx, cancel := context.WithDeadline(ctx, stopsAt)
 	defer cancel()
 	n.server.DisableKeepAlives()
 	n.member.Leave(ctx)
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -51,6 +51,7 @@
 	Poison      *poison.Table // Nil means that no request is rejected for the targets that it crashed.
 	RetryBudget RetryBudgetConfig
 	Synced      <-chan struct{}  // Closed once the host has a plan and knows the targets. Nil means that it has them.
+	StopsAt     func() time.Time // Returns when a stopping host cuts its requests; zero if it is not stopping. Nil means never.
 	Draining    func() bool      // Reports whether the host is shutting down and refuses new requests. Nil means never.
 	Logger      log.Logger       // Nil means no logging.
 	Metrics     metrics.Registry // Nil means a private registry.
@@ -77,6 +78,9 @@
 	if c.Poison == nil {
 		c.Poison = poison.New(poison.Config{})
 	}
+	if c.StopsAt == nil {
+		c.StopsAt = func() time.Time { return time.Time{} }
+	}
 	if c.Draining == nil {
 		c.Draining = func() bool { return false }
 	}
@@ -218,7 +222,7 @@
 	}
 	j.deadline, j.limitedByRoute = h.deadline(r, j.route)
 	j.isRetry = h.retryDetector.isRetry(j.route.Name, h.callerTimeout(r))
-	if h.config.Draining() {
+	if h.config.Draining() || h.endsTooLate(r, j) {
 		return j, newRefusal(steer.ReasonStopping, http.StatusServiceUnavailable, minRetryAfter)
 	}
 	if r.BodyRefused {
@@ -251,6 +255,25 @@
 	return nil
 }
 
+// maxObjectives is the duration of a request, in latency objectives of its route, for which a stopping host must have time left
+// to take it. Longer requests are rare.
+const maxObjectives = 2
+
+// endsTooLate reports whether a request may still run when a stopping host has to cut it.
+func (h *Handler) endsTooLate(r *front.Request, j *job) bool {
+	stopsAt := h.config.StopsAt()
+	if stopsAt.IsZero() {
+		return false
+	}
+	end := j.deadline
+	if j.route.Objective > 0 {
+		if likely := r.Arrived.Add(maxObjectives * j.route.Objective); likely.Before(end) {
+			end = likely
+		}
+	}
+	return end.After(stopsAt)
+}
+
 // minRetryAfter is the time after which a refused caller may retry at another host.
 const minRetryAfter = 50 * time.Millisecond
 
--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -283,6 +283,37 @@
 	}
 }
 
+// Guards against requests that a stopping host takes and cuts when its time to stop ends.
+func TestStoppingHostRefusesWhatCannotEnd(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		left    time.Duration // Until the host stops; 0 if it does not.
+		timeout string        // Of the caller, in milliseconds.
+		status  int
+	}{
+		{name: "not stopping", timeout: "2000", status: 200},
+		{name: "time for the route's timeout", left: 500 * time.Millisecond, timeout: "2000", status: 200},
+		{name: "less than the route's timeout", left: 300 * time.Millisecond, timeout: "2000", status: 503},
+		{name: "time for the caller's timeout", left: 300 * time.Millisecond, timeout: "200", status: 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newTestEnv(t, 1, succeed)
+			e.configure(func(config *pass.Config) {
+				config.StopsAt = func() time.Time {
+					if c.left == 0 {
+						return time.Time{}
+					}
+					return time.Now().Add(c.left)
+				}
+			})
+			response := e.send("/booking/1", "Deadline", c.timeout)
+			assert.Equal(t, response.Status, c.status)
+			assert.Equal(t, response.Header.Get("Retry-After") != "", c.status == 503)
+			assert.Equal(t, len(e.requests()) == 0, c.status == 503)
+		})
+	}
+}
+
 // Guards against requests that are refused only after a wait, or with the wrong status.
 func TestRefusesWithoutDelay(t *testing.T) {
 	for _, c := range []struct {
