Test heads that are cut short and copies of refusals with their id

A head without its end fails, and an answer with the id of another request, or without one on a used connection, is not taken for the own.

--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -183,6 +183,10 @@
 		{name: "own failure", answer: "HTTP/1.1 500 Oops\r\nId: ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", verdict: steer.Ran, status: 500},
 		{name: "unsigned success", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 1\r\n\r\na", verdict: steer.MayHaveRun},
 		{name: "cut short", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 9\r\n\r\nabc|CLOSE", verdict: steer.MayHaveRun},
+		{name: "cut short after the status line", answer: "HTTP/1.1 200 OK\r\n|CLOSE", verdict: steer.MayHaveRun},
+		{name: "cut short between header lines", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n|CLOSE", verdict: steer.MayHaveRun},
+		{name: "cut short in a header line", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 1|CLOSE", verdict: steer.MayHaveRun},
+		{name: "cut short before the end of the head", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 0\r\n\r|CLOSE", verdict: steer.MayHaveRun},
 		{name: "cut short in chunks", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n|CLOSE", verdict: steer.MayHaveRun},
 		{
 			name:    "ends with its connection",
--- a/internal/edge/back/bounds_test.go
+++ b/internal/edge/back/bounds_test.go
@@ -303,6 +303,7 @@
 	}{
 		{name: "with its id", copy: "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nfirst", ok: true},
 		{name: "without an id", copy: "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nfirst"},
+		{name: "refusal with its id", copy: "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", ok: true},
 		{name: "refusal without an id", copy: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
