Ask the sender for a listing after a gap in relayed changes

What callers saw: a host that the platform turns away kept withdrawn keys, targets that had left and an old plan, though a host beside it knew better. After a store's return from a copy the same: a host that misses the one relayed listing of the new era would stay in the old one.

Cause: relayed changes continue from a position. A host that misses one message refuses all later ones, and nothing asked for what is missing. Class: a stream of differences without a way to ask.

Change: a host with a gap whose own calls fail asks the sender, in its next round, and gets all entries. Older builds ignore the question.

TestDeniedHostClosesGapInRelayedChanges failed in each run before and passes; its harness passes the question on.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -157,17 +157,20 @@
 // other host watches on behalf of this one, and this host pauses its own watch for relayTTL and its stagger delay. Changes
 // from any other host pause it only after a call of this host failed. Changes that leave a gap after the last known position
 // are dropped, and this host watches at once. Nothing is applied before the first listing.
-func (f *Follower) ApplyRelayed(now time.Time, fromWatcher bool, c steer.Changes) {
+//
+// It reports whether the sender should be asked for a listing, because of a gap that this host cannot close by itself: its own
+// calls fail.
+func (f *Follower) ApplyRelayed(now time.Time, fromWatcher bool, c steer.Changes) (asksListing bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.table.listed {
-		return
+		return false
 	}
 	if c.To.Era == 0 {
 		c.To.Era = f.firstEra // The sender runs a build that does not tell eras.
 	}
 	if c.To.Era < f.position.Era {
-		return
+		return false
 	}
 	if !c.Listing && (c.To.Era > f.position.Era || c.From > f.position.Revision) {
 		f.relayedUntil, f.fallbackUntil = time.Time{}, time.Time{}
@@ -175,7 +178,7 @@
 		case f.wake <- struct{}{}:
 		default:
 		}
-		return
+		return now.Sub(f.lastFailure) < 2*fallbackWindow
 	}
 	if fromWatcher {
 		f.relayedUntil = now.Add(relayTTL + f.staggerDelay())
@@ -183,9 +186,24 @@
 	f.fallbackUntil = now.Add(relayTTL)
 	if c.Listing {
 		f.applyListing(now, c.Facts, c.To)
-		return
+		return false
 	}
 	f.applyChanges(now, c.Facts, c.To)
+	return false
+}
+
+// Listing returns all that this host knows, for a host that asked for it. It reports false if this host may not be up to date.
+func (f *Follower) Listing() (steer.Changes, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.table.listed || !f.table.reachable {
+		return steer.Changes{}, false
+	}
+	return steer.Changes{
+		To:      f.position,
+		Listing: true,
+		Facts:   f.table.known(),
+	}, true
 }
 
 // awaitRelay pauses the watch of a host that has just started, if another host of its data centre, one with a lower id,
--- a/internal/edge/belief/relay_test.go
+++ b/internal/edge/belief/relay_test.go
@@ -46,8 +46,10 @@
 				mu.Lock()
 				f, ok := followers[to], connected
 				mu.Unlock()
-				if ok {
-					f.ApplyRelayed(time.Now(), to == 1, c)
+				if ok && f.ApplyRelayed(time.Now(), to == 1, c) {
+					listing, ok := followers[1-to].Listing()
+					assert.Assert(t, ok)
+					f.ApplyRelayed(time.Now(), to == 1, listing)
 				}
 			}
 		}
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -94,6 +94,18 @@
 	return changed, problems
 }
 
+// known returns all entries, with the plan in force.
+func (t *table) known() []steer.Fact {
+	facts := make([]steer.Fact, 0, len(t.facts))
+	for key, fact := range t.facts {
+		if key == t.planKey && t.index != nil {
+			fact.Plan, fact.Problem = t.index.Plan, nil
+		}
+		facts = append(facts, fact)
+	}
+	return facts
+}
+
 // apply applies one change and returns the errors of a rejected entry. It ignores changes that are not newer than the known
 // entry or its removal. A panic is returned as an error of the entry.
 func (t *table) apply(now time.Time, fact steer.Fact) (problems []error) {
--- a/internal/edge/node/fleet_test.go
+++ b/internal/edge/node/fleet_test.go
@@ -201,7 +201,7 @@
 func checkWithdrawnKey(t *testing.T, s separation) {
 	t.Helper()
 	f := newNodeFleet(t)
-	plan := *f.catalog.facts["plan"].Plan
+	plan := *f.catalog.fact("plan").Plan
 	plan.Version++
 	plan.Customers = []steer.PlanCustomer{{
 		Name: "naviera",
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -210,6 +210,7 @@
 		OnCrashes:    n.poison.Merge,
 		OnPeerStatus: n.handlePeerStatus,
 		Changes:      n.handleChanges,
+		OnAsked:      n.answerWithListing,
 		Logger:       c.Logger,
 		Metrics:      c.Metrics,
 	}))
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -59,6 +59,12 @@
 	}
 }
 
+func (c *catalog) fact(key string) steer.Fact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.facts[key]
+}
+
 func (c *catalog) List(context.Context) ([]steer.Fact, steer.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -43,7 +43,16 @@
 
 // handleChanges applies changes that another host of the data centre watched. The first host by id watches for the others.
 func (n *Node) handleChanges(now time.Time, from string, c steer.Changes) {
-	n.follower.ApplyRelayed(now, from < n.settings.HostID, c)
+	if n.follower.ApplyRelayed(now, from < n.settings.HostID, c) {
+		n.gossiper.Load().AskListing(from)
+	}
+}
+
+// answerWithListing sends all that this host knows to a host of the data centre that asked for it.
+func (n *Node) answerWithListing(host string) {
+	if listing, ok := n.follower.Listing(); ok {
+		n.gossiper.Load().Answer(host, listing)
+	}
 }
 
 // setPeers passes the peers of this host to the quotas: each other data centre as a whole, and the hosts of this data centre
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -39,8 +39,8 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes and Changes are
-// optional.
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Changes and
+// OnAsked are optional.
 type Config struct {
 	Host         string
 	DataCentre   string
@@ -56,6 +56,7 @@
 	OnCrashes    func(now time.Time, crashes []steer.CrashReport)     // Called with crashes that another host reported.
 	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
 	Changes      func(now time.Time, from string, c steer.Changes)    // Called with changes of entries that another host relayed.
+	OnAsked      func(host string)                                    // Called when another host asks this one for all entries.
 	Logger       log.Logger                                           // Nil means no logging.
 	Metrics      metrics.Registry                                     // Nil means a private registry.
 }
@@ -91,8 +92,9 @@
 	wait   sync.WaitGroup
 
 	mu                sync.Mutex
-	leaving           bool // Leave was called, and no more rounds are sent.
-	wasSpeaker        bool // This host was the speaker of its data centre in the last round.
+	listingFrom       string // Host that the next round asks for all entries; empty for none.
+	leaving           bool   // Leave was called, and no more rounds are sent.
+	wasSpeaker        bool   // This host was the speaker of its data centre in the last round.
 	round             int
 	hosts             map[string]*host      // Other hosts, by id.
 	usesLeaders       bool                  // The hosts of the data centre report through leaders.
@@ -146,6 +148,9 @@
 	if c.OnCrashes == nil {
 		c.OnCrashes = func(time.Time, []steer.CrashReport) {}
 	}
+	if c.OnAsked == nil {
+		c.OnAsked = func(string) {}
+	}
 	if c.Changes == nil {
 		c.Changes = func(time.Time, string, steer.Changes) {}
 	}
@@ -318,8 +323,15 @@
 }
 
 // Relay sends changes of entries to the other hosts of the data centre. It never blocks: a host that misses changes gets them
-// from the platform.
-func (g *Gossiper) Relay(c steer.Changes) {
+// from the platform, or asks for them.
+func (g *Gossiper) Relay(c steer.Changes) { g.relayTo(c, func(string) bool { return true }) }
+
+// Answer sends all entries to a host of the data centre that asked for them.
+func (g *Gossiper) Answer(host string, listing steer.Changes) {
+	g.relayTo(listing, func(id string) bool { return id == host })
+}
+
+func (g *Gossiper) relayTo(c steer.Changes, wanted func(id string) bool) {
 	data, err := encode(&message{
 		Host:         g.config.Host,
 		DataCentre:   g.config.DataCentre,
@@ -332,12 +344,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range g.localHosts() {
-		if h.link != nil {
+		if h.link != nil && wanted(h.entry.ID) {
 			h.link.enqueueChanges(data)
 		}
 	}
 }
 
+// AskListing asks a host of the data centre for all entries, with the next round.
+func (g *Gossiper) AskListing(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listingFrom = host
+}
+
 // setPending replaces the pending message of each link to the given hosts.
 func (g *Gossiper) setPending(m *message, hosts []*host) {
 	data, err := encode(m)
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -17,6 +17,9 @@
 	g.config.OnNotes(now, append(fromWireNotes(m.RemoteNotes), notes...))
 	limits := fromWireLimits(m.Limits)
 	g.config.OnLimits(now, append(fromWireLimits(m.RemoteLimits), limits...))
+	if m.ListingFrom == g.config.Host {
+		g.config.OnAsked(m.Host)
+	}
 	if len(m.Crashes) > 0 {
 		g.config.OnCrashes(now, fromWireCrashes(m.Crashes))
 	}
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -83,6 +83,7 @@
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
+	m.ListingFrom, g.listingFrom = g.listingFrom, ""
 	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
 	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -39,6 +39,7 @@
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
+	ListingFrom       string             `cbor:"listing-from,omitempty"` // Host that is asked for all entries.
 }
 
 // note is the encoding of a steer.TargetObservation.
