Link to a host that is heard before its registration

What callers saw: a host that loses the platform 0.3 s after its start accepts a withdrawn key, and sends to a target that has left, from then on.

Cause: it has missed the registrations of hosts that started with it, so it has no link to them. It hears their messages, but has nobody to ask for what it misses.

Change: the messages of a round name the sender's peer address. A host of the data centre that is heard and not registered is linked like one whose registration has ended, for 20 s after it was last unknown, or until its registration arrives.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -199,6 +199,7 @@
 		Host:         s.HostID,
 		DataCentre:   s.DataCentre,
 		Region:       s.Region,
+		PeerAddress:  s.PeerListen,
 		Usage:        n.quotas.Publish,
 		Sum:          n.quotas.Sum,
 		Hint:         n.hint,
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 	Host         string
 	DataCentre   string
 	Region       string
+	PeerAddress  netip.AddrPort                                       // Listener of this host at which Handler is mounted. Optional.
 	Usage        func(now time.Time) share.Report                     // Returns the usage of this host. Called once a round.
 	Sum          func(peers []string) (share.Report, int)             // Returns the usage and number of this host and the peers.
 	Hint         func(now time.Time) (Hint, bool)                     // Returns the hint for cut-off hosts; false if none.
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"monsoonhub.example/steer"
 )
 
@@ -80,7 +83,11 @@
 func (g *Gossiper) recordMessage(now time.Time, m *message, notes []steer.TargetObservation, limits []steer.LimitObservation, remote bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if h := g.hosts[m.Host]; h != nil {
+	h := g.hosts[m.Host]
+	if h == nil && !remote && !m.Leaving {
+		h = g.addUnregistered(now, m)
+	}
+	if h != nil {
 		h.lastHeard = now
 	}
 	if m.PlatformReachable {
@@ -100,3 +107,24 @@
 		}
 	}
 }
+
+// addUnregistered adds a host of the data centre of whose registration this host has not learned, for example because it does
+// not reach the platform. Without its address in the message, it returns nil.
+func (g *Gossiper) addUnregistered(now time.Time, m *message) *host {
+	address, err := netip.ParseAddrPort(m.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	h := &host{
+		entry: steer.HostEntry{
+			ID:          m.Host,
+			DataCentre:  m.DataCentre,
+			Region:      g.config.Region,
+			PeerAddress: address,
+		},
+		lapsedAt: now,
+	}
+	g.hosts[m.Host] = h
+	_ = level.Info(g.logger).Log("msg", "Host is heard before its registration.", "host", m.Host, "address", address)
+	return h
+}
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -72,6 +72,7 @@
 	m := &message{
 		Host:              g.config.Host,
 		DataCentre:        g.config.DataCentre,
+		PeerAddress:       addressText(g.config.PeerAddress),
 		PlatformReachable: platformReachable,
 		ReachableFor:      hint.ReachableFor.Milliseconds(),
 		Emptied:           hint.Emptied,
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
+	PeerAddress       string             `cbor:"peer-address,omitempty"` // Of the sender; empty if it is unknown.
 	ListingFrom       string             `cbor:"listing-from,omitempty"` // Host that is asked for all entries.
 }
 
@@ -311,6 +313,14 @@
 	return out
 }
 
+// addressText returns an address as text, empty if it is not valid.
+func addressText(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
 func coldMillis(cold map[string]time.Duration) map[string]int64 {
 	out := make(map[string]int64, len(cold))
 	for id, left := range cold {
