List one after the other when an outage has ended

Cause: after an outage all hosts watch the platform themselves. When the store returns from a copy, or its history is compacted meanwhile, all get 410 and list at the same moment, and each relays its whole listing to the hosts it has links to.

Change: a host that needs another listing waits for the first ones of its data centre by id, 0.1 s apart and 0.9 s at most, and uses the listing that they relay. Only the first five relay theirs.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -209,29 +209,32 @@
 // awaitRelay pauses the watch of a host that has just started, if another host of its data centre, one with a lower id,
 // watches on its behalf. Otherwise all hosts of a fleet that starts at once would watch. The caller holds mu.
 func (f *Follower) awaitRelay(now time.Time) {
-	for _, fact := range f.table.facts {
-		if h := fact.Host; h != nil && h.DataCentre == f.dataCentre && h.ID < f.host {
-			f.relayedUntil = now.Add(startupRelayWait)
-			return
-		}
+	if f.lowerIDs() > 0 {
+		f.relayedUntil = now.Add(startupRelayWait)
 	}
 }
 
 // staggerDelay returns the time for which this host lets others of its data centre watch first when relayed changes stop.
 // The caller holds mu.
 func (f *Follower) staggerDelay() time.Duration {
-	lowerIDs := 0
-	for _, fact := range f.table.facts {
-		if h := fact.Host; h != nil && h.DataCentre == f.dataCentre && h.ID < f.host {
-			lowerIDs++
-		}
-	}
+	lowerIDs := f.lowerIDs()
 	if lowerIDs > staggeredHosts {
 		return maxStagger
 	}
 	return time.Duration(max(0, lowerIDs-1)) * staggerStep // The first host is not counted: it has stopped relaying.
 }
 
+// lowerIDs returns the number of registered hosts of the data centre with a lower id. The caller holds mu.
+func (f *Follower) lowerIDs() int {
+	n := 0
+	for _, fact := range f.table.facts {
+		if h := fact.Host; h != nil && h.DataCentre == f.dataCentre && h.ID < f.host {
+			n++
+		}
+	}
+	return n
+}
+
 // watchPausedUntil returns the time until which relayed changes replace this host's own watch, and zero if they do not.
 // During a pause it also drops lapsed entries, which watch does otherwise.
 func (f *Follower) watchPausedUntil(now time.Time) time.Time {
@@ -306,11 +309,12 @@
 		}
 		if errors.Is(err, steer.ErrCompacted) || errors.Is(err, errRestored) {
 			_ = level.Info(f.logger).Log("msg", "Changes are not available, listing again.", "err", err)
-			listed = false
 			if !relisting {
 				relisting = true
+				listed = f.awaitListing(ctx)
 				continue
 			}
+			listed = false
 		} else {
 			f.noteFailure(err)
 		}
@@ -343,12 +347,32 @@
 	if err != nil {
 		return err
 	}
-	if relisted {
+	if relisted && f.isEarlyLister() {
 		f.relay(changes) // Saves the other hosts of the data centre a listing.
 	}
 	return nil
 }
 
+// awaitListing waits until the hosts of the data centre that come first would have listed the entries and relayed them, and
+// reports whether relayed changes have arrived. After an outage all hosts need a listing at once.
+func (f *Follower) awaitListing(ctx context.Context) bool {
+	f.mu.Lock()
+	before, delay := f.position, f.staggerDelay()
+	f.mu.Unlock()
+	f.sleep(ctx, delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position != before
+}
+
+// isEarlyLister reports whether this host is one of those of its data centre that list the entries first, one after the other.
+// The others need not relay their listings.
+func (f *Follower) isEarlyLister() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lowerIDs() <= staggeredHosts
+}
+
 // listed applies a listing of this host. It returns what to relay, and reports whether the entries had been listed before.
 func (f *Follower) listed(facts []steer.Fact, position steer.Position) (steer.Changes, bool, error) {
 	f.mu.Lock()
