--- a/internal/edge/poison/recorder.go
+++ b/internal/edge/poison/recorder.go
@@ -12,8 +12,14 @@
 	"monsoonhub.example/steer/internal/ops/guard"
 )
 
-// recordInterval is the time between two looks at what is to be registered.
-const recordInterval = time.Second
+const (
+	// recordInterval is the time between two looks at what is to be registered.
+	recordInterval = time.Second
+
+	// settleTime is the time for which a request must have been condemned before it is registered on the platform. Reports of
+	// other hosts, which may explain its crashes, arrive within some rounds of messages.
+	settleTime = time.Second
+)
 
 // RecorderConfig configures a Recorder.
 type RecorderConfig struct {
--- a/internal/edge/poison/poison.go
+++ b/internal/edge/poison/table.go
@@ -17,14 +17,6 @@
 )
 
 const (
-	// minCrashes is the number of targets that a request must have lost to be condemned. Fewer would condemn requests that are
-	// sent again while many targets crash for another reason.
-	minCrashes = 3
-
-	// rejectTime is the time for which a condemned request is rejected after its last crash. The first crash after that
-	// condemns it again.
-	rejectTime = 10 * time.Minute
-
 	// crashRetention is the time for which a crash counts.
 	crashRetention = time.Hour
 
@@ -33,20 +25,6 @@
 
 	// maxCrashes bounds the crashes that a table holds, in a few hundred KB. The oldest eighth makes room.
 	maxCrashes = 4096
-
-	// settleTime is the time for which a request must have been condemned before it is registered on the platform. Reports of
-	// other hosts, which may explain its crashes, arrive within some rounds of messages.
-	settleTime = time.Second
-
-	// reportTime is the time for which a crash or an answer is reported after this host learned of it: some rounds of messages,
-	// because each may be lost.
-	reportTime = time.Second
-
-	// repeatInterval is the time between repeated reports of condemned requests, from which restarted hosts learn of them.
-	repeatInterval = 2 * time.Second
-
-	// maxReports bounds the reports of one message, in about 2 KB.
-	maxReports = 64
 )
 
 // Config configures a Table.
@@ -60,35 +38,29 @@
 type Table struct {
 	logger    log.Logger
 	condemned metrics.Counter
-	inUse     atomic.Bool // There is at least one crash.
+	inUse     atomic.Bool // What InUse returns.
 
 	mu         sync.Mutex
 	requests   map[Key]*request
 	registered map[Key]time.Time // Requests that are registered on the platform as rejected, and when this host learned of it.
-	answers    map[Key]answer    // Last answers to requests that had crashes.
+	answers    map[Key]event     // Last answers to requests that had crashes.
 	crashes    int               // In all requests.
 	repeatedAt time.Time         // When condemned requests were last reported.
 }
 
 // request holds the crashes of one request.
 type request struct {
-	crashes   map[uint64]crash // By target, as targetKey returns it.
+	crashes   map[uint64]event // By target, as targetKey returns it.
 	lastCrash time.Time
 	condemned bool
 	since     time.Time // When it was condemned.
 	own       bool      // This host saw one of the crashes.
 }
 
-// crash is the loss of one target under one request.
-type crash struct {
-	at        time.Time
-	learnedAt time.Time
-}
-
-// answer is an answer of a target to a request.
-type answer struct {
+// event is a crash of a target by a request, or an answer of a target to it.
+type event struct {
 	at        time.Time
-	learnedAt time.Time
+	learnedAt time.Time // When this host saw it or was told.
 }
 
 // New returns an empty table.
@@ -104,7 +76,7 @@
 		condemned:  metrics.GetOrRegisterCounter("poison-condemned", c.Metrics),
 		requests:   map[Key]*request{},
 		registered: map[Key]time.Time{},
-		answers:    map[Key]answer{},
+		answers:    map[Key]event{},
 	}
 }
 
@@ -112,26 +84,6 @@
 // be recorded.
 func (t *Table) InUse() bool { return t.inUse.Load() }
 
-// Rejects reports whether a request is condemned, and for how much longer it is rejected.
-func (t *Table) Rejects(now time.Time, key Key) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	left := t.rejectedFor(now, key)
-	return left, left > 0
-}
-
-// rejectedFor returns for how much longer a request is rejected. The caller holds mu.
-func (t *Table) rejectedFor(now time.Time, key Key) time.Duration {
-	var left time.Duration
-	if r := t.requests[key]; r != nil && r.condemned {
-		left = r.lastCrash.Add(rejectTime).Sub(now)
-	}
-	if learnedAt, ok := t.registered[key]; ok {
-		left = max(left, learnedAt.Add(rejectTime).Sub(now))
-	}
-	return left
-}
-
 // SetRegistered replaces the requests that are registered on the platform as rejected.
 func (t *Table) SetRegistered(now time.Time, keys map[uint64]bool) {
 	t.mu.Lock()
@@ -164,14 +116,6 @@
 	return keys
 }
 
-// isCondemned reports whether the known crashes condemn a request.
-func (t *Table) isCondemned(key Key) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.requests[key]
-	return r != nil && r.condemned
-}
-
 // RecordCrash records that a target closed the connection without an answer to a request.
 func (t *Table) RecordCrash(now time.Time, key Key, target *steer.Endpoint) {
 	t.mu.Lock()
@@ -194,78 +138,6 @@
 	}
 }
 
-// Merge adds what other hosts reported.
-func (t *Table) Merge(now time.Time, reports []steer.CrashReport) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	decisive := false
-	for _, r := range reports {
-		key, at := Key(r.Request), now.Add(-r.Age)
-		switch {
-		case key == 0 || r.Age < 0 || r.Age > crashRetention:
-		case r.Answered:
-			t.exonerate(now, at, key)
-		default:
-			decisive = t.add(now, at, key, r.Target) || decisive
-		}
-	}
-	if decisive {
-		t.condemn(now)
-	}
-}
-
-// Reports returns what is to be reported to other hosts now: what this host has learned lately and, from time to time, the
-// crashes of condemned requests.
-func (t *Table) Reports(now time.Time) []steer.CrashReport {
-	if !t.InUse() {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	repeat := now.Sub(t.repeatedAt) >= repeatInterval
-	if repeat {
-		t.repeatedAt = now
-	}
-	type ranked struct {
-		report  steer.CrashReport
-		crashes int // Of the request.
-	}
-	var list []ranked
-	for key, r := range t.requests {
-		for target, c := range r.crashes {
-			if now.Sub(c.learnedAt) >= reportTime && !(repeat && r.condemned) {
-				continue
-			}
-			list = append(list, ranked{
-				report: steer.CrashReport{
-					Request: uint64(key),
-					Target:  target,
-					Age:     now.Sub(c.at),
-				},
-				crashes: len(r.crashes),
-			})
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.report.Age, b.report.Age))
-	})
-	reports := make([]steer.CrashReport, 0, min(len(list), maxReports))
-	for _, entry := range list[:min(len(list), maxReports)] {
-		reports = append(reports, entry.report)
-	}
-	for key, a := range t.answers {
-		if now.Sub(a.learnedAt) < reportTime && len(reports) < 2*maxReports {
-			reports = append(reports, steer.CrashReport{
-				Request:  uint64(key),
-				Age:      now.Sub(a.at),
-				Answered: true,
-			})
-		}
-	}
-	return reports
-}
-
 // add adds a crash and reports whether it may decide which requests are condemned. The caller holds mu.
 func (t *Table) add(now, at time.Time, key Key, target uint64) bool {
 	if a, ok := t.answers[key]; ok && !at.After(a.at) {
@@ -274,14 +146,14 @@
 	r := t.requests[key]
 	if r == nil {
 		r = &request{
-			crashes: map[uint64]crash{},
+			crashes: map[uint64]event{},
 		}
 		t.requests[key] = r
 	}
 	if _, known := r.crashes[target]; known {
 		return false
 	}
-	r.crashes[target] = crash{
+	r.crashes[target] = event{
 		at:        at,
 		learnedAt: now,
 	}
@@ -306,7 +178,7 @@
 	if r == nil && !ok {
 		return // Nothing is known that the answer could outweigh.
 	}
-	t.answers[key] = answer{
+	t.answers[key] = event{
 		at:        at,
 		learnedAt: now,
 	}
@@ -324,50 +196,6 @@
 	}
 }
 
-// condemn decides which requests are condemned. The request that lost the most targets comes first; a target that it lost does
-// not count for the others, which may only have run beside it. The caller holds mu.
-func (t *Table) condemn(now time.Time) {
-	var suspects []Key
-	for key, r := range t.requests {
-		if len(r.crashes) >= minCrashes {
-			suspects = append(suspects, key)
-		}
-	}
-	slices.SortFunc(suspects, func(a, b Key) int {
-		return cmp.Or(cmp.Compare(len(t.requests[b].crashes), len(t.requests[a].crashes)), cmp.Compare(a, b))
-	})
-	explained := map[uint64]bool{}
-	for _, key := range suspects {
-		r := t.requests[key]
-		unexplained := 0
-		for target := range r.crashes {
-			if !explained[target] {
-				unexplained++
-			}
-		}
-		condemned := unexplained >= minCrashes
-		if condemned {
-			for target := range r.crashes {
-				explained[target] = true
-			}
-		}
-		if condemned != r.condemned {
-			t.setCondemned(now, key, r, condemned)
-		}
-	}
-}
-
-func (t *Table) setCondemned(now time.Time, key Key, r *request, condemned bool) {
-	r.condemned, r.since = condemned, now
-	if !condemned {
-		_ = level.Info(t.logger).Log("msg", "Request is no longer rejected, another one explains its crashes.", "request-key", key)
-		return
-	}
-	t.condemned.Inc(1)
-	_ = level.Warn(t.logger).Log("msg", "Request crashed several targets and is rejected.", "request-key", key,
-		"targets", len(r.crashes), "for", rejectTime)
-}
-
 // expire drops crashes and answers that no longer count. The caller holds mu.
 func (t *Table) expire(now time.Time) {
 	for key, r := range t.requests {
