Leave removed entries out of the listing for a host that asks

What callers would see: a target that has left stays in use at a host that asked another one for a listing, for as long as that host is cut off.

Cause: a host keeps the entries that were removed soon after an outage for 2.2 s. Its listing for a host that asks held them as present, and the position after the removal, so that the asker never read the removal.

--- a/internal/edge/belief/relay_test.go
+++ b/internal/edge/belief/relay_test.go
@@ -138,6 +138,26 @@
 	})
 }
 
+// Guards against a removal that is missed because the host that was asked for a listing keeps the entry for a while.
+func TestListingOfPeerHoldsNoRemovedEntry(t *testing.T) {
+	for range 30 {
+		runHostPair(t, func(platform *fakeCatalog, _, second *countingCatalog, connect func(bool), view func() *belief.View) {
+			second.denied.Store(true)
+			connect(false)
+			platform.update(func() { platform.down = true })
+			time.Sleep(time.Second)
+			platform.put(removedFact("targets/a", 0))
+			platform.update(func() { platform.down = false })
+			time.Sleep(1500 * time.Millisecond) // The first host has learned of the removal, and keeps the entry.
+			connect(true)
+			platform.put(planFact(7, 0))
+			time.Sleep(4 * time.Second) // contact-s of the platform's pages, after an outage.
+			assert.Equal(t, view().Index.Plan.Version, uint64(7))
+			assert.Equal(t, len(view().Targets[service]), 0)
+		})
+	}
+}
+
 // Guards against a host that uses relayed changes and goes on sending to a target whose kept entry has expired.
 func TestExpiredTargetIsDroppedAtOnce(t *testing.T) {
 	const drain = 2500 * time.Millisecond // A drain must be in effect this long after the platform acknowledged it.
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -94,10 +94,13 @@
 	return changed, problems
 }
 
-// known returns all entries, with the plan in force.
+// known returns all entries, with the plan in force, except for those that are kept though they were removed.
 func (t *table) known() []steer.Fact {
 	facts := make([]steer.Fact, 0, len(t.facts))
 	for key, fact := range t.facts {
+		if _, lapsing := t.lapseDeadlines[key]; lapsing {
+			continue
+		}
 		if key == t.planKey && t.index != nil {
 			fact.Plan, fact.Problem = t.index.Plan, nil
 		}
