Log the states of connections when accepts fail

The line now comes once a second with the number of failures and the connections of callers: all, idle and with a request in progress. The failures are counted in front-accept-failures.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -48,6 +48,9 @@
 
 	// acceptBackoff is the pause after a failed accept, for example when file descriptors run out.
 	acceptBackoff = 20 * time.Millisecond
+
+	// acceptLogInterval is the shortest time between two log lines on failed accepts.
+	acceptLogInterval = time.Second
 )
 
 // Defaults of the request limits, which apply until the first plan.
@@ -113,6 +116,7 @@
 	guard              *guard.Guard
 	openConns          metrics.Gauge
 	accepted           metrics.Counter
+	acceptFailures     metrics.Counter
 	noMemory           metrics.Counter
 	bodyMemory         *semaphore.Weighted
 	maxBodyBytes       int64                     // Largest body whose buffer can be moved to a larger one.
@@ -144,9 +148,12 @@
 			Logger:  c.Logger,
 			Metrics: c.Metrics,
 		}),
-		openConns:    metrics.GetOrRegisterGauge("front-connections", c.Metrics),
-		accepted:     metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
-		noMemory:     metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
+		openConns: metrics.GetOrRegisterGauge("front-connections", c.Metrics),
+		accepted:  metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
+		noMemory:  metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
+
+		acceptFailures: metrics.GetOrRegisterCounter("front-accept-failures", c.Metrics),
+
 		bodyMemory:   semaphore.NewWeighted(bodyMemory),
 		maxBodyBytes: bodyMemory/2 - 1,
 		conns:        map[*conn]struct{}{},
@@ -160,6 +167,8 @@
 }
 
 func (s *Server) accept() {
+	var logged time.Time
+	var loggedFailures int64
 	for {
 		socket, err := s.config.Listener.Accept()
 		var netErr net.Error
@@ -175,7 +184,11 @@
 			return
 		}
 		if err != nil {
-			_ = level.Warn(s.logger).Log("msg", "Accept failed.", "err", err)
+			s.acceptFailures.Inc(1)
+			if now := time.Now(); now.Sub(logged) >= acceptLogInterval {
+				s.logAcceptFailure(err, s.acceptFailures.Count()-loggedFailures)
+				logged, loggedFailures = now, s.acceptFailures.Count()
+			}
 			time.Sleep(acceptBackoff)
 			continue
 		}
@@ -202,6 +215,24 @@
 	}
 }
 
+// logAcceptFailure logs a failed accept, the number of failures since the last such line, and the states of the connections.
+func (s *Server) logAcceptFailure(err error, failures int64) {
+	total, idle, inProgress := 0, 0, 0
+	s.eachConn(func(c *conn) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		total++
+		switch {
+		case len(c.queue) > 0:
+			inProgress++
+		case c.idle:
+			idle++
+		}
+	})
+	_ = level.Warn(s.logger).Log("msg", "Accept failed.", "err", err, "failures", failures, "connections", total, "idle", idle,
+		"with-request", inProgress)
+}
+
 func (s *Server) limits() steer.RequestLimits {
 	l := s.config.Limits()
 	if l.HeaderBytes == 0 {
