--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -440,3 +440,22 @@
 	_, conns, _ := s.stats()
 	assert.Equal(t, conns, 2)
 }
+
+// Guards against requests that reach a target after their caller has left.
+func TestCallWhoseCallerHasLeftIsNotSent(t *testing.T) {
+	s := newScriptedTarget(t, func(int, int) string { return ok("") })
+	p := newPool(t)
+	for i := range 20 {
+		id := fmt.Sprint("served-", i)
+		result := p.Do(context.Background(), newCall(s, id))
+		assert.NilError(t, result.Err)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		result = p.Do(ctx, newCall(s, "left"))
+		assert.ErrorIs(t, result.Err, context.Canceled)
+		assert.Equal(t, result.Verdict, steer.NotRun)
+		assert.Assert(t, !result.Sent)
+	}
+	heads, _, _ := s.stats()
+	assert.Equal(t, len(heads), 20)
+}
