Do not send requests whose caller has left

Cause: back.Pool.send takes an idle connection and writes the request without a look at the context. A host that has accepted a connection late reads the request and then the end of the caller's bytes, and cancels the context before the handler runs; the request was sent all the same, and its connection closed. Its verdict was may-have-run.

Change: a call whose context has ended is not written, keeps its connection and has the verdict not-run.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -237,6 +237,13 @@
 			Err:     err,
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		p.keep(call.Endpoint.ID, c)
+		return Result{
+			Verdict: steer.NotRun,
+			Err:     err,
+		}
+	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	x := exchange{
 		conn:         c,
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -28,11 +28,14 @@
 
 func newConn(socket net.Conn, address netip.AddrPort) *conn {
 	m := meter.New(socket)
+	now := time.Now()
 	return &conn{
-		socket:  socket,
-		meter:   m,
-		reader:  bufio.NewReaderSize(m, 4<<10),
-		address: address,
+		socket:    socket,
+		meter:     m,
+		reader:    bufio.NewReaderSize(m, 4<<10),
+		address:   address,
+		idleSince: now,
+		idleUntil: now.Add(defaultIdleTimeout),
 	}
 }
 
