Close idle connections when descriptors run short

Callers waited for over a second before a host read their requests, and were then answered half a second and more after their route's time-out (CONFIG), got no answer before their deadline, or found no connection; look-ups at the directory failed.

Cause: nothing bounded connections by the descriptors of the process. After a burst, 2554 to 3753 of some 3700 connections of callers were idle and stayed open for the idle time-out of the plan (15 s). Accepts, look-ups, links to other hosts and connections to targets failed with 'too many open files' meanwhile. A request on a connection that is not accepted waits in the kernel, where its time does not count. The class of fault: a resource that many parts use and none bounds, held by what is not in use.

Change: package conns counts the connections of callers, of the directory and to targets. At seven eighths of the descriptors for sockets a new one replaces the one that has been idle for longest; if none is idle its request is refused at once; one eighth is left for other hosts, the platform, readiness and metrics. Failed accepts are logged by conns, for all listeners, so the unstructured lines of net/http are gone. Idle connections to the other servers, which had no time-out, are closed after 30 s.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/conns"
 )
 
 const (
@@ -108,6 +110,7 @@
 	Headers steer.HeaderNames
 	Memory  int64            // Memory of the process in bytes, a fraction of which may hold answers. 0 selects 128 MB.
 	Dial    steer.Dial       // Opens connections. Nil selects a dialer for TCP.
+	Conns   *conns.Budget    // Counts the connections. Nil selects a budget of its own.
 	Metrics metrics.Registry // Nil selects a private registry.
 }
 
@@ -116,6 +119,7 @@
 	headers      steer.HeaderNames
 	memoryBudget *memoryBudget
 	dial         steer.Dial
+	conns        *conns.Budget
 	dials        metrics.Counter
 	noMemory     metrics.Counter
 	strayAnswers metrics.Counter
@@ -139,11 +143,17 @@
 		}
 		c.Dial = dialer.DialContext
 	}
+	if c.Conns == nil {
+		c.Conns = conns.New(conns.Config{
+			Metrics: c.Metrics,
+		})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		headers:      c.Headers,
 		memoryBudget: newMemoryBudget(c.Memory),
 		dial:         c.Dial,
+		conns:        c.Conns,
 		dials:        metrics.GetOrRegisterCounter("back-dials", c.Metrics),
 		noMemory:     metrics.GetOrRegisterCounter("back-no-memory", c.Metrics),
 		strayAnswers: metrics.GetOrRegisterCounter("back-stray-answers", c.Metrics),
@@ -291,8 +301,49 @@
 	return c, false, err
 }
 
-// open opens a connection within the dial timeout of the data centre.
+// ErrNoConnection means that the host has too many connections to open another one.
+var ErrNoConnection = errors.New("no descriptor for another connection")
+
+// open opens a connection. If there are too many, it closes one that is idle or fails with ErrNoConnection.
 func (p *Pool) open(ctx context.Context, e *steer.Endpoint) (*conn, error) {
+	c := &conn{
+		targetID: e.ID,
+	}
+	var ok bool
+	if c.counted, ok = p.conns.Add(func() bool { return p.closeUnused(c) }); !ok {
+		c.counted.Remove()
+		return nil, ErrNoConnection
+	}
+	socket, err := p.connect(ctx, e)
+	if conns.Exhausted(err) && p.conns.MakeRoom() {
+		socket, err = p.connect(ctx, e)
+	}
+	if err != nil {
+		c.counted.Remove()
+		if conns.Exhausted(err) {
+			err = fmt.Errorf("%w: %w", ErrNoConnection, err)
+		}
+		return nil, err
+	}
+	c.start(socket, e.Address)
+	return c, nil
+}
+
+// closeUnused closes a connection if it is idle, and reports whether it is closed.
+func (p *Pool) closeUnused(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.idle[c.targetID], c)
+	if i < 0 {
+		return false
+	}
+	p.idle[c.targetID] = slices.Delete(p.idle[c.targetID], i, i+1)
+	_ = c.socket.Close() // The connection is not used any more, so its error does not matter.
+	return true
+}
+
+// connect connects to a target within the dial timeout of its data centre.
+func (p *Pool) connect(ctx context.Context, e *steer.Endpoint) (net.Conn, error) {
 	p.dials.Inc(1)
 	start := time.Now()
 	timeout := p.dialTimeout(e.DataCentre)
@@ -307,7 +358,7 @@
 	case err != nil:
 		return nil, err
 	}
-	return newConn(socket, e.Address), nil
+	return socket, nil
 }
 
 func (p *Pool) dialTimeout(dataCentre string) time.Duration {
@@ -363,6 +414,7 @@
 	}
 	c := list[len(list)-1]
 	p.idle[id] = list[:len(list)-1]
+	c.counted.SetUsed()
 	return c
 }
 
@@ -382,6 +434,7 @@
 		return
 	}
 	p.idle[id] = append(p.idle[id], c)
+	c.counted.SetIdle()
 }
 
 // parseLoad parses a load header: running requests, waiting requests and slots. It returns nil if the value is malformed.
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -10,11 +10,14 @@
 
 	"golang.org/x/sys/unix"
 
+	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
 // conn is a connection to a target.
 type conn struct {
+	targetID  string
+	counted   *conns.Conn // In the budget of the host.
 	socket    net.Conn
 	meter     *meter.Reader
 	reader    *bufio.Reader
@@ -26,17 +29,13 @@
 	served    bool          // The connection was used for an exchange before the current one.
 }
 
-func newConn(socket net.Conn, address netip.AddrPort) *conn {
-	m := meter.New(socket)
-	now := time.Now()
-	return &conn{
-		socket:    socket,
-		meter:     m,
-		reader:    bufio.NewReaderSize(m, 4<<10),
-		address:   address,
-		idleSince: now,
-		idleUntil: now.Add(defaultIdleTimeout),
-	}
+// start initialises the connection when its socket is open.
+func (c *conn) start(socket net.Conn, address netip.AddrPort) {
+	c.socket, c.address = socket, address
+	c.meter = meter.New(socket)
+	c.reader = bufio.NewReaderSize(c.meter, 4<<10)
+	c.idleSince = time.Now()
+	c.idleUntil = c.idleSince.Add(defaultIdleTimeout)
 }
 
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
@@ -47,7 +46,10 @@
 	return errors.Join(control, err)
 }
 
-func (c *conn) close() { _ = c.socket.Close() } // The connection is not used any more, so its error does not matter.
+func (c *conn) close() {
+	_ = c.socket.Close() // The connection is not used any more, so its error does not matter.
+	c.counted.Remove()
+}
 
 // interrupt makes the exchange in progress fail by a deadline in the past.
 func (c *conn) interrupt() { _ = c.socket.SetDeadline(time.Unix(1, 0)) }
--- /dev/null
+++ b/internal/edge/conns/conns.go
@@ -0,0 +1,224 @@
+package conns
+
+import (
+	"container/list"
+	"errors"
+	"math"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// reservedFraction is the fraction of the sockets that is kept for listeners, other hosts and the platform. A data centre of 47
+	// hosts, the mean of a fleet of 470, needs some 100 of them.
+	reservedFraction = 0.125
+
+	// excessFraction is the fraction of the sockets that may be open beyond the limit, for connections whose requests are refused.
+	// It is a part of reservedFraction.
+	excessFraction = 0.0625
+
+	// exhaustedFraction is the fraction of the open connections that is closed, if they are idle, when the system has no
+	// descriptor left although the limit is not reached.
+	exhaustedFraction = 0.0625
+
+	// logInterval is the shortest time between two log lines on closed connections.
+	logInterval = time.Second
+)
+
+// Config configures a Budget.
+type Config struct {
+	Descriptors     int              // Descriptors of the process. 0, or more than its resource limit, selects the resource limit.
+	FileDescriptors int              // Descriptors that are no sockets.
+	Logger          log.Logger       // Nil means no logging.
+	Metrics         metrics.Registry // Nil means a private registry.
+}
+
+// Budget bounds the connections that are counted in it. It is safe for concurrent use.
+type Budget struct {
+	logger  log.Logger
+	limit   int // Connections above which idle ones are closed, and requests refused if there are none.
+	maximum int // Connections above which none is accepted.
+	gauge   metrics.Gauge
+	closed  metrics.Counter
+	excess  metrics.Counter
+	failed  metrics.Counter // Failed accepts.
+
+	mu     sync.Mutex
+	open   int
+	idle   list.List // Of *Conn; the one that has been idle for longest comes first.
+	logged time.Time
+}
+
+// New returns a budget for the descriptors of the process.
+func New(c Config) *Budget {
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	b := &Budget{
+		logger: log.With(c.Logger, "part", "conns"),
+		gauge:  metrics.GetOrRegisterGauge("conns-open", c.Metrics),
+		closed: metrics.GetOrRegisterCounter("conns-closed-idle", c.Metrics),
+		excess: metrics.GetOrRegisterCounter("conns-excess", c.Metrics),
+		failed: metrics.GetOrRegisterCounter("conns-accept-failures", c.Metrics),
+	}
+	descriptors, err := resourceLimit()
+	if err != nil {
+		_ = level.Warn(b.logger).Log("msg", "Resource limit of descriptors is unknown.", "err", err)
+	}
+	if c.Descriptors > 0 {
+		descriptors = min(descriptors, c.Descriptors)
+	}
+	sockets := float64(max(descriptors-c.FileDescriptors, 1))
+	b.limit = max(int((1-reservedFraction)*sockets), 1)
+	b.maximum = b.limit + max(int(excessFraction*sockets), 1)
+	_ = level.Info(b.logger).Log("msg", "Connections are limited.", "descriptors", descriptors, "limit", b.limit, "maximum", b.maximum)
+	return b
+}
+
+// resourceLimit returns the number of descriptors that the system lets the process open.
+func resourceLimit() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32, err
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
+// Conn is one connection in a budget.
+type Conn struct {
+	budget      *Budget
+	closeUnused func() bool
+	element     *list.Element // In the list of idle connections; nil while it is in use.
+	removed     bool
+}
+
+// Add counts an open connection, which is in use at first. If there are more than the limit, it closes the connection that has
+// been idle for longest. It reports false if none is idle: the connection should then be closed soon. The function closeUnused
+// closes the connection unless it has come into use again, and reports whether it did; it must not call the budget. Remove must
+// be called when the connection is closed.
+func (b *Budget) Add(closeUnused func() bool) (*Conn, bool) {
+	c := &Conn{
+		budget:      b,
+		closeUnused: closeUnused,
+	}
+	b.mu.Lock()
+	b.open++
+	b.gauge.Update(int64(b.open))
+	over := b.open - b.limit
+	b.mu.Unlock()
+	if over <= 0 || b.closeIdle(1, "limit") == 1 {
+		return c, true
+	}
+	b.excess.Inc(1)
+	return c, false
+}
+
+// mayAccept reports whether a further connection may be accepted. If there are too many, it closes an idle one.
+func (b *Budget) mayAccept() bool {
+	open, _ := b.counts()
+	return open < b.maximum || b.closeIdle(1, "maximum") == 1
+}
+
+// counts returns the number of open connections, and how many of them are idle.
+func (b *Budget) counts() (open, idle int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open, b.idle.Len()
+}
+
+// Exhausted reports whether an error means that the process or the system has no descriptor left.
+func Exhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// MakeRoom closes idle connections after an error for which Exhausted is true, and reports whether it closed any.
+func (b *Budget) MakeRoom() bool {
+	open, _ := b.counts()
+	return b.closeIdle(max(int(exhaustedFraction*float64(open)), 1), "exhausted") > 0
+}
+
+// closeIdle closes up to count connections, first those that have been idle for longest, and returns how many it closed.
+func (b *Budget) closeIdle(count int, reason string) int {
+	closed := 0
+	for closed < count {
+		b.mu.Lock()
+		front := b.idle.Front()
+		if front == nil {
+			b.mu.Unlock()
+			break
+		}
+		c := front.Value.(*Conn)
+		b.idle.Remove(front)
+		c.element = nil
+		b.mu.Unlock()
+		if c.closeUnused() { // Without the lock: it takes the lock of the connection, under which SetIdle is called.
+			c.Remove()
+			closed++
+		}
+	}
+	if closed == 0 {
+		return 0
+	}
+	b.closed.Inc(int64(closed))
+	b.mu.Lock()
+	now := time.Now()
+	due := now.Sub(b.logged) >= logInterval
+	if due {
+		b.logged = now
+	}
+	b.mu.Unlock()
+	if due {
+		open, idle := b.counts()
+		_ = level.Info(b.logger).Log("msg", "Idle connections are closed.", "reason", reason, "open", open, "idle", idle,
+			"closed-in-all", b.closed.Count())
+	}
+	return closed
+}
+
+// SetIdle records that the connection has no request in progress.
+func (c *Conn) SetIdle() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.element == nil && !c.removed {
+		c.element = b.idle.PushBack(c)
+	}
+}
+
+// SetUsed records that the connection has a request in progress.
+func (c *Conn) SetUsed() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.unlist()
+}
+
+// Remove records that the connection is closed. Further calls have no effect.
+func (c *Conn) Remove() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.unlist()
+	if !c.removed {
+		c.removed = true
+		b.open--
+		b.gauge.Update(int64(b.open))
+	}
+}
+
+// unlist removes the connection from the idle ones. Its caller holds the lock of the budget.
+func (c *Conn) unlist() {
+	if c.element != nil {
+		c.budget.idle.Remove(c.element)
+		c.element = nil
+	}
+}
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
@@ -25,6 +26,9 @@
 	ctx    context.Context // Ends with the connection.
 	cancel context.CancelFunc
 
+	counted *conns.Conn // In the budget of the host.
+	excess  bool        // The budget is exceeded, so requests are refused.
+
 	handlerCtx   context.Context // Ends with the connection, or when the handlers must return.
 	stopHandlers context.CancelFunc
 
@@ -142,9 +146,10 @@
 			Arrived: time.Now(),
 
 			BodyRefused: bodyRefused,
+			ExcessConn:  c.excess,
 		},
 		body:       body,
-		closeAfter: bodyRefused || r.Close || !r.ProtoAtLeast(1, 1),
+		closeAfter: bodyRefused || c.excess || r.Close || !r.ProtoAtLeast(1, 1),
 	}, nil
 }
 
@@ -173,8 +178,32 @@
 
 func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.idle = idle
-	c.mu.Unlock()
+	c.updateCounted()
+}
+
+// updateCounted tells the budget whether the connection is unused. Its caller holds mu.
+func (c *conn) updateCounted() {
+	if c.unused() {
+		c.counted.SetIdle()
+	} else {
+		c.counted.SetUsed()
+	}
+}
+
+// unused reports whether the connection has no request in progress and nothing to write. Its caller holds mu.
+func (c *conn) unused() bool { return len(c.queue) == 0 && (c.idle || c.closing) }
+
+// closeUnused closes the connection if it is unused, and reports whether it is closed.
+func (c *conn) closeUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unused() {
+		return false
+	}
+	c.abortLocked()
+	return true
 }
 
 func (c *conn) hasInFlight() bool {
@@ -308,6 +337,7 @@
 		}
 		c.queue = c.queue[1:]
 		c.notFull.Broadcast()
+		c.updateCounted()
 		if sendClose {
 			c.halfClose()
 			return
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/ops/guard"
 )
 
@@ -45,12 +45,6 @@
 	// finalFlushTime is the time for which a server that must stop waits until the handlers have returned and their responses are
 	// written. Handlers return as soon as their context ends.
 	finalFlushTime = 150 * time.Millisecond
-
-	// acceptBackoff is the pause after a failed accept, for example when file descriptors run out.
-	acceptBackoff = 20 * time.Millisecond
-
-	// acceptLogInterval is the shortest time between two log lines on failed accepts.
-	acceptLogInterval = time.Second
 )
 
 // Defaults of the request limits, which apply until the first plan.
@@ -75,6 +69,9 @@
 	// BodyRefused means that the body was not read because the memory for bodies is exhausted. The connection closes after the
 	// response.
 	BodyRefused bool
+
+	// ExcessConn means that the host has too many connections, none of which is idle. The connection closes after the response.
+	ExcessConn bool
 }
 
 // Response is the response to a request.
@@ -105,6 +102,7 @@
 	Handler  Handler
 	Limits   func() steer.RequestLimits // Zero fields select defaults.
 	Memory   int64                      // Memory of the process in bytes, a fraction of which may hold bodies. 0 selects 128 MB.
+	Conns    *conns.Budget              // Counts the connections. Nil selects a budget of its own.
 	Logger   log.Logger                 // Nil means no logging.
 	Metrics  metrics.Registry           // Nil means a private registry.
 }
@@ -112,11 +110,11 @@
 // Server accepts connections of callers and serves their requests.
 type Server struct {
 	config             Config
+	listener           *conns.Listener
 	logger             log.Logger
 	guard              *guard.Guard
 	openConns          metrics.Gauge
 	accepted           metrics.Counter
-	acceptFailures     metrics.Counter
 	noMemory           metrics.Counter
 	bodyMemory         *semaphore.Weighted
 	maxBodyBytes       int64                     // Largest body whose buffer can be moved to a larger one.
@@ -140,20 +138,24 @@
 	if c.Memory <= 0 {
 		c.Memory = defaultMemory
 	}
+	if c.Conns == nil {
+		c.Conns = conns.New(conns.Config{
+			Logger:  c.Logger,
+			Metrics: c.Metrics,
+		})
+	}
 	bodyMemory := int64(bodyFraction * float64(c.Memory))
 	s := &Server{
-		config: c,
-		logger: log.With(c.Logger, "part", "front"),
+		config:   c,
+		listener: c.Conns.Listen(c.Listener),
+		logger:   log.With(c.Logger, "part", "front"),
 		guard: guard.New(guard.Config{
 			Logger:  c.Logger,
 			Metrics: c.Metrics,
 		}),
-		openConns: metrics.GetOrRegisterGauge("front-connections", c.Metrics),
-		accepted:  metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
-		noMemory:  metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
-
-		acceptFailures: metrics.GetOrRegisterCounter("front-accept-failures", c.Metrics),
-
+		openConns:    metrics.GetOrRegisterGauge("front-connections", c.Metrics),
+		accepted:     metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
+		noMemory:     metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
 		bodyMemory:   semaphore.NewWeighted(bodyMemory),
 		maxBodyBytes: bodyMemory/2 - 1,
 		conns:        map[*conn]struct{}{},
@@ -167,36 +169,27 @@
 }
 
 func (s *Server) accept() {
-	var logged time.Time
-	var loggedFailures int64
 	for {
-		socket, err := s.config.Listener.Accept()
+		socket, err := s.listener.Accept()
 		var netErr net.Error
 		if s.shuttingDown.Load() && errors.As(err, &netErr) && netErr.Timeout() {
 			if hasPendingConns(s.config.Listener) {
 				s.setAcceptDeadline() // The deadline passed before this goroutine ran.
 				continue
 			}
-			_ = s.config.Listener.Close() // Without delay: a connection that arrives before the close would be reset.
-			return
-		}
-		if errors.Is(err, net.ErrClosed) {
+			_ = s.listener.Close() // Without delay: a connection that arrives before the close would be reset.
 			return
 		}
 		if err != nil {
-			s.acceptFailures.Inc(1)
-			if now := time.Now(); now.Sub(logged) >= acceptLogInterval {
-				s.logAcceptFailure(err, s.acceptFailures.Count()-loggedFailures)
-				logged, loggedFailures = now, s.acceptFailures.Count()
-			}
-			time.Sleep(acceptBackoff)
-			continue
+			return // The listener is closed.
 		}
 		s.accepted.Inc(1)
 		if s.shuttingDown.Load() {
 			s.setAcceptDeadline()
 		}
 		c := newConn(s, socket)
+		counted, ok := s.config.Conns.Add(c.closeUnused)
+		c.counted, c.excess = counted, !ok
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.openConns.Update(int64(len(s.conns)))
@@ -204,6 +197,7 @@
 		s.connGroup.Add(1)
 		go func() {
 			defer s.connGroup.Done()
+			defer counted.Remove()
 			if !s.guard.Do("connection of a caller", c.run) {
 				c.abort()
 			}
@@ -215,24 +209,6 @@
 	}
 }
 
-// logAcceptFailure logs a failed accept, the number of failures since the last such line, and the states of the connections.
-func (s *Server) logAcceptFailure(err error, failures int64) {
-	total, idle, inProgress := 0, 0, 0
-	s.eachConn(func(c *conn) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		total++
-		switch {
-		case len(c.queue) > 0:
-			inProgress++
-		case c.idle:
-			idle++
-		}
-	})
-	_ = level.Warn(s.logger).Log("msg", "Accept failed.", "err", err, "failures", failures, "connections", total, "idle", idle,
-		"with-request", inProgress)
-}
-
 func (s *Server) limits() steer.RequestLimits {
 	l := s.config.Limits()
 	if l.HeaderBytes == 0 {
@@ -284,7 +260,7 @@
 	}
 	listener, ok := s.config.Listener.(interface{ SetDeadline(t time.Time) error })
 	if !ok || listener.SetDeadline(time.Now().Add(idleTimeout)) != nil {
-		_ = s.config.Listener.Close() // A listener without deadlines cannot be drained.
+		_ = s.listener.Close() // A listener without deadlines cannot be drained.
 	}
 }
 
@@ -301,7 +277,7 @@
 	select {
 	case <-s.acceptDone:
 	case <-ctx.Done():
-		_ = s.config.Listener.Close() // There is no time left for pending connections.
+		_ = s.listener.Close() // There is no time left for pending connections.
 		<-s.acceptDone
 	}
 	done := make(chan struct{})
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -16,16 +16,23 @@
 	"gotest.tools/v3/assert"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/front"
 )
 
 func startServer(t *testing.T, handler front.Handler) (*front.Server, string) {
+	t.Helper()
+	return startServerWithBudget(t, handler, nil)
+}
+
+func startServerWithBudget(t *testing.T, handler front.Handler, budget *conns.Budget) (*front.Server, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := front.New(front.Config{
 		Listener: listener,
 		Handler:  handler,
+		Conns:    budget,
 		Limits: func() steer.RequestLimits {
 			return steer.RequestLimits{
 				HeaderBytes:   1 << 10,
@@ -339,3 +346,57 @@
 		assert.Equal(t, unansweredOpen.Load(), int64(0))
 	}
 }
+
+// Guards against new callers that wait while others keep idle connections, and against closing connections that are in use.
+func TestIdleConnectionsMakeRoomForNewCallers(t *testing.T) {
+	const limit = 7 // Of 8 descriptors, one eighth is reserved.
+	release := make(chan struct{})
+	_, address := startServerWithBudget(t, func(ctx context.Context, r *front.Request) front.Response {
+		if r.Target == "/slow" {
+			<-release
+		}
+		response := echo(ctx, r)
+		response.Header.Set("Excess", fmt.Sprint(r.ExcessConn))
+		return response
+	}, conns.New(conns.Config{
+		Descriptors: limit + 1,
+	}))
+	const slowRequest = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+	send := func(c net.Conn, request string) {
+		_, err := io.WriteString(c, request)
+		assert.NilError(t, err)
+	}
+	check := func(r *bufio.Reader, excess bool) {
+		t.Helper()
+		_, _, response := readResponse(t, r)
+		assert.Equal(t, response.Header.Get("Excess"), fmt.Sprint(excess))
+		assert.Equal(t, response.Close, excess)
+	}
+	slow, slowReader := dial(t, address)
+	send(slow, slowRequest)
+	var idle []*bufio.Reader
+	for range 2 * limit {
+		c, r := dial(t, address)
+		send(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		check(r, false)
+		idle = append(idle, r)
+	}
+	for _, r := range idle[:limit+1] { // The slow connection and the last limit-1 stay open.
+		_, err := r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	}
+	readers := []*bufio.Reader{slowReader}
+	for range limit - 1 {
+		c, r := dial(t, address)
+		send(c, slowRequest)
+		readers = append(readers, r)
+	}
+	time.Sleep(100 * time.Millisecond) // Until the requests are in progress.
+	c, r := dial(t, address)
+	send(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	check(r, true)
+	close(release)
+	for _, r := range readers {
+		check(r, false)
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -19,6 +19,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/back"
 	"monsoonhub.example/steer/internal/edge/belief"
+	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/front"
 	"monsoonhub.example/steer/internal/edge/join"
 	"monsoonhub.example/steer/internal/edge/pass"
@@ -35,6 +36,9 @@
 	// headerTimeout bounds the reading of a request's header by the servers other than the one for callers.
 	headerTimeout = 2 * time.Second
 
+	// idleTimeout closes idle connections to these servers. The platform and other hosts call more often.
+	idleTimeout = 30 * time.Second
+
 	// drainServeFraction is the fraction of the grace period for which a stopping host still accepts requests on open and new
 	// connections, because callers keep answers of the directory for some seconds.
 	drainServeFraction = 0.5
@@ -82,6 +86,7 @@
 	placer     *place.Placer
 	quotas     *share.Table
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
+	conns      *conns.Budget
 	targets    *back.Pool
 	poison     *poison.Table
 	recorder   *poison.Recorder
@@ -176,9 +181,16 @@
 		Bounds:   quotaBounds(s),
 		MinHosts: len(s.Regions), // Every data centre has a host.
 	})
+	n.conns = conns.New(conns.Config{
+		Descriptors:     s.Descriptors,
+		FileDescriptors: s.FileDescriptors,
+		Logger:          c.Logger,
+		Metrics:         c.Metrics,
+	})
 	n.targets = back.New(back.Config{
 		Headers: c.Headers,
 		Memory:  int64(s.MemoryMB) << 20,
+		Conns:   n.conns,
 		Metrics: c.Metrics,
 	})
 	n.poison = poison.New(poison.Config{
@@ -269,6 +281,7 @@
 		Handler:  handler.Serve,
 		Limits:   n.requestLimits,
 		Memory:   int64(s.MemoryMB) << 20,
+		Conns:    n.conns,
 		Logger:   c.Logger,
 		Metrics:  c.Metrics,
 	})
@@ -276,18 +289,29 @@
 	peers.Handle(gossip.Path, n.gossiper.Load().Handler())
 	n.serve(p.peers, peers)
 	n.serve(p.ready, c.PlatformAPI.Readiness(n.Ready))
-	n.serve(p.directory, c.PlatformAPI.Directory(n.lookup))
+	n.serveCallers(p.directory, c.PlatformAPI.Directory(n.lookup))
 	scrape := http.NewServeMux()
 	scrape.Handle("GET /metrics", telem.MetricsHandler(c.Metrics))
 	n.serve(p.metrics, scrape)
 }
 
-// serve starts an HTTP server for a listener other than that for callers.
+// serve starts an HTTP server for the platform and other hosts.
 func (n *Node) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-	}
+	n.startServer(n.conns.ListenReserved(listener), &http.Server{
+		Handler: handler,
+	})
+}
+
+// serveCallers starts an HTTP server for callers, whose connections are counted and closed if there are too many.
+func (n *Node) serveCallers(listener net.Listener, handler http.Handler) {
+	n.startServer(n.conns.Listen(listener), &http.Server{
+		Handler:   handler,
+		ConnState: n.conns.ConnState(),
+	})
+}
+
+func (n *Node) startServer(listener net.Listener, server *http.Server) {
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 	n.auxServers = append(n.auxServers, server)
 	n.wait.Add(1)
 	go func() {
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -225,6 +225,9 @@
 	if h.config.Draining() || h.endsTooLate(r, j) {
 		return j, newRefusal(steer.ReasonStopping, http.StatusServiceUnavailable, minRetryAfter)
 	}
+	if r.ExcessConn {
+		return j, newRefusal(steer.ReasonBounds, http.StatusServiceUnavailable, addJitter(minRetryAfter))
+	}
 	if r.BodyRefused {
 		return j, newRefusal(steer.ReasonMemory, http.StatusServiceUnavailable, addJitter(minRetryAfter))
 	}
--- a/internal/edge/setup/setup.go
+++ b/internal/edge/setup/setup.go
@@ -22,6 +22,8 @@
 	Store               netip.AddrPort    `yaml:"store"`
 	HistorySeconds      float64           `yaml:"store-history-s"` // Maximum time for which the store keeps changes.
 	MemoryMB            int               `yaml:"memory-mb"`
+	Descriptors         int               `yaml:"max-descriptors"`  // 0 selects the resource limit of the process.
+	FileDescriptors     int               `yaml:"file-descriptors"` // Descriptors of the process that are no sockets.
 	GraceSeconds        float64           `yaml:"grace-s"`          // From SIGTERM to SIGKILL.
 	DirectoryTTLSeconds float64           `yaml:"directory-keep-s"` // Maximum time that callers keep an answer of the directory.
 	RetryRatio          float64           `yaml:"retry-ratio"`      // Retries allowed for each request, over all hosts.
@@ -32,6 +34,9 @@
 	LogLevel            string            `yaml:"log-level"`
 }
 
+// defaultFileDescriptors is several times what a host uses: standard streams, the settings file and those of the Go runtime.
+const defaultFileDescriptors = 32
+
 // GracePeriod returns the time from SIGTERM to SIGKILL.
 func (s *Settings) GracePeriod() time.Duration { return seconds(s.GraceSeconds) }
 
@@ -58,7 +63,8 @@
 // Parse decodes and validates the text of a settings file. The name is used only in errors.
 func Parse(name string, text []byte) (Settings, error) {
 	settings := Settings{
-		LogLevel: "info",
+		FileDescriptors: defaultFileDescriptors,
+		LogLevel:        "info",
 	}
 	checker, err := config.Decode(name, text, &settings)
 	if err != nil {
@@ -106,6 +112,8 @@
 		low, high float64
 	}{
 		{field: "memory-mb", value: float64(s.MemoryMB), low: 32, high: 1 << 20},
+		{field: "max-descriptors", value: float64(s.Descriptors), low: 0, high: 1 << 24},
+		{field: "file-descriptors", value: float64(s.FileDescriptors), low: 0, high: 1 << 20},
 		{field: "grace-s", value: s.GraceSeconds, low: 1, high: 600},
 		{field: "directory-keep-s", value: s.DirectoryTTLSeconds, low: 0.1, high: 600},
 		{field: "retry-ratio", value: s.RetryRatio, low: 0, high: 1},
