Do not blame targets when the host has no descriptor

Requests were refused with reason no-target while all targets were healthy, and other hosts were told that targets fail.

Cause: an error of the host itself, no descriptor for a socket, was reported to the placer as a failed connection to the target. Three of them in a row leave the target alone, and its objects move. In the incident the lines 'Target is left alone.' on front-noa-b-1 begin with the failed accepts.

pass.TestExhaustedDescriptorsAreNoTargetFailure failed before: ten requests without a descriptor got no-target instead of over-bounds.

The same class elsewhere: memory for answers was treated so already.

--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -283,6 +285,31 @@
 	}
 }
 
+// Guards against leaving targets alone because the host itself has no descriptor to reach them.
+func TestExhaustedDescriptorsAreNoTargetFailure(t *testing.T) {
+	const exhausted = 10
+	e := newTestEnv(t, 3, succeed)
+	dials := 0
+	pool := back.New(back.Config{
+		Headers: names,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials++; dials <= exhausted {
+				return nil, os.NewSyscallError("socket", syscall.EMFILE)
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+	})
+	t.Cleanup(pool.Stop)
+	e.configure(func(c *pass.Config) { c.Targets = pool })
+	for range exhausted {
+		response := e.send("/booking/1")
+		assert.Equal(t, response.Status, 503)
+		assert.Equal(t, string(response.Body), "over-bounds not-run\n")
+		assert.Assert(t, response.Header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, e.send("/booking/1").Status, 200)
+}
+
 // Guards against requests that a stopping host takes and cuts when its time to stop ends.
 func TestStoppingHostRefusesWhatCannotEnd(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -115,7 +115,7 @@
 	}
 	timedOut := result.Status == 0 && errors.Is(result.Err, context.DeadlineExceeded)
 	unfinished := errors.Is(result.Err, back.ErrUnfinished)
-	noMemory := errors.Is(result.Err, back.ErrNoMemory)
+	hostExhausted := errors.Is(result.Err, back.ErrNoMemory) || errors.Is(result.Err, back.ErrNoConnection)
 	connFailed := result.Status == 0 && !timedOut && !unfinished
 	// A target that closed an idle connection is healthy: the request may go to it again, over a new connection.
 	j.staleConn = result.StaleConnection
@@ -128,7 +128,7 @@
 		ConnectionLost: connFailed,
 		Shed:           result.Verdict == steer.NotRun && result.Status != 0,
 		Gone:           result.Gone,
-		Inconclusive:   ctx.Err() != nil || j.staleConn || noMemory,
+		Inconclusive:   ctx.Err() != nil || j.staleConn || hostExhausted,
 	}
 	h.config.Placer.Done(now, choice, outcome)
 	if !j.staleConn {
@@ -158,6 +158,9 @@
 	if errors.Is(r.Err, back.ErrNoMemory) {
 		return newRefusal(steer.ReasonMemory, http.StatusServiceUnavailable, addJitter(minRetryAfter))
 	}
+	if errors.Is(r.Err, back.ErrNoConnection) {
+		return newRefusal(steer.ReasonBounds, http.StatusServiceUnavailable, addJitter(minRetryAfter))
+	}
 	if errors.Is(r.Err, context.DeadlineExceeded) || !time.Now().Before(j.deadline) {
 		return newRefusal(steer.ReasonDeadline, http.StatusGatewayTimeout, 0)
 	}
