Count the time that a host lets requests wait in the kernel

A request that waits to be accepted, or behind sixteen others of its connection, got its whole time-out again when it was read, and was sent on although its caller had closed the connection meanwhile.

Cause: Request.Arrived was the moment of reading, and the end of a caller's bytes is seen after the bytes only, by when the handler may run.

Change: where the host itself let a connection wait (no descriptor, no room in the budget, or the limit of pipelined requests), it asks the kernel for the state of the connection before it handles the next request. The time since the last bytes arrived is taken off, which never counts too much, and a caller that has closed its connection has its request refused with reason caller-left.

Failed try: to ask for each request.

The wait for a busy processor is still not counted.

--- a/internal/edge/conns/listen.go
+++ b/internal/edge/conns/listen.go
@@ -13,8 +13,14 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// acceptBackoff is the pause while no connection may be accepted.
-const acceptBackoff = 20 * time.Millisecond
+const (
+	// acceptBackoff is the pause while no connection may be accepted.
+	acceptBackoff = 20 * time.Millisecond
+
+	// lateTime is the time after such a pause for which accepted connections are taken to have waited. Accepting all that have
+	// waited takes less.
+	lateTime = time.Second
+)
 
 // Listener repeats accepts that fail, after idle connections are closed if descriptors have run out. It does not count the
 // connections.
@@ -26,7 +32,8 @@
 	failed metrics.Counter
 	closed atomic.Bool
 
-	// Used by Accept only, which is not called concurrently.
+	// Used by Accept and Late only, which are not called concurrently.
+	pausedAt       time.Time // End of the last pause.
 	logged         time.Time
 	loggedFailures int64
 }
@@ -59,7 +66,7 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		for l.waits && !l.budget.mayAccept() && !l.closed.Load() {
-			time.Sleep(acceptBackoff)
+			l.pause()
 		}
 		socket, err := l.Listener.Accept()
 		var netErr net.Error
@@ -68,11 +75,19 @@
 		}
 		l.recordFailure(time.Now(), err)
 		if !Exhausted(err) || !l.budget.MakeRoom() {
-			time.Sleep(acceptBackoff)
+			l.pause()
 		}
 	}
 }
 
+func (l *Listener) pause() {
+	time.Sleep(acceptBackoff)
+	l.pausedAt = time.Now()
+}
+
+// Late reports whether the last accepted connection may have waited in the kernel, with requests on it.
+func (l *Listener) Late() bool { return time.Since(l.pausedAt) < lateTime }
+
 // recordFailure counts a failed accept. It logs one line each logInterval at most, with the failures since the last one.
 func (l *Listener) recordFailure(now time.Time, err error) {
 	l.failed.Inc(1)
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -28,6 +28,7 @@
 
 	counted *conns.Conn // In the budget of the host.
 	excess  bool        // The budget is exceeded, so requests are refused.
+	late    bool        // The next request may have waited in the kernel. Used by the reader only.
 
 	handlerCtx   context.Context // Ends with the connection, or when the handlers must return.
 	stopHandlers context.CancelFunc
@@ -46,6 +47,7 @@
 	request    *Request
 	body       *requestBody // Of the request, until the handler has returned.
 	response   *Response    // Nil while the handler runs.
+	callerLeft bool         // The caller had closed the connection when the request was read.
 	closeAfter bool         // The connection closes after this exchange.
 }
 
@@ -134,6 +136,12 @@
 		requestTarget = r.URL.RequestURI()
 	}
 	path, _, _ := strings.Cut(requestTarget, "?")
+	var age time.Duration
+	callerLeft := false
+	if c.late {
+		age, callerLeft = socketState(c.socket)
+		c.late = false
+	}
 	return &exchange{
 		request: &Request{
 			Method:  r.Method,
@@ -143,12 +151,13 @@
 			Header:  r.Header,
 			Body:    body.data,
 			HasBody: r.ContentLength != 0,
-			Arrived: time.Now(),
+			Arrived: time.Now().Add(-age),
 
 			BodyRefused: bodyRefused,
 			ExcessConn:  c.excess,
 		},
 		body:       body,
+		callerLeft: callerLeft,
 		closeAfter: bodyRefused || c.excess || r.Close || !r.ProtoAtLeast(1, 1),
 	}, nil
 }
@@ -275,6 +284,7 @@
 func (c *conn) enqueue(e *exchange) bool {
 	c.mu.Lock()
 	for len(c.queue) >= maxPipelined && !c.closing {
+		c.late = true
 		c.notFull.Wait()
 	}
 	if c.closing {
@@ -285,6 +295,9 @@
 	}
 	c.queue = append(c.queue, e)
 	c.mu.Unlock()
+	if e.callerLeft {
+		c.cancel()
+	}
 	go func() {
 		r := Response{
 			Status: http.StatusBadGateway,
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -64,7 +64,7 @@
 	Header  http.Header
 	Body    []byte
 	HasBody bool      // The request has a body, which may be empty.
-	Arrived time.Time // When its last byte was read.
+	Arrived time.Time // When its last byte was read. If the host has let it wait, when it arrived in the kernel or bytes after it did.
 
 	// BodyRefused means that the body was not read because the memory for bodies is exhausted. The connection closes after the
 	// response.
@@ -189,7 +189,7 @@
 		}
 		c := newConn(s, socket)
 		counted, ok := s.config.Conns.Add(c.closeUnused)
-		c.counted, c.excess = counted, !ok
+		c.counted, c.excess, c.late = counted, !ok, s.listener.Late()
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.openConns.Update(int64(len(s.conns)))
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -400,3 +402,101 @@
 		check(r, false)
 	}
 }
+
+// lateListener has no descriptor for each connection until it has waited for some time.
+type lateListener struct {
+	net.Listener
+	wait     time.Duration
+	accepted net.Conn
+	since    time.Time
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	if l.accepted == nil {
+		socket, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.accepted, l.since = socket, time.Now()
+	}
+	if time.Since(l.since) < l.wait {
+		return nil, os.NewSyscallError("accept4", syscall.EMFILE)
+	}
+	socket := l.accepted
+	l.accepted = nil
+	return socket, nil
+}
+
+// Guards against requests whose time begins only when they are read, so that they are held beyond their timeout.
+func TestTimeInTheKernelCounts(t *testing.T) {
+	const (
+		delay     = 300 * time.Millisecond
+		tolerance = 50 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name        string
+		acceptDelay time.Duration
+		busy        int // Requests before it on its connection.
+	}{
+		{name: "waits to be accepted", acceptDelay: delay},
+		{name: "waits behind others of its connection", busy: 17},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			waited := make(chan time.Duration, 1)
+			s := front.New(front.Config{
+				Listener: &lateListener{
+					Listener: listener,
+					wait:     c.acceptDelay,
+				},
+				Handler: func(ctx context.Context, r *front.Request) front.Response {
+					if r.Target == "/last" {
+						waited <- time.Since(r.Arrived)
+					} else {
+						time.Sleep(delay)
+					}
+					return echo(ctx, r)
+				},
+				Limits: func() steer.RequestLimits { return steer.RequestLimits{} },
+			})
+			socket, r := dial(t, listener.Addr().String())
+			_, err = io.WriteString(socket, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", c.busy)+
+				"GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			for range c.busy + 1 {
+				readResponse(t, r)
+			}
+			wait := <-waited
+			assert.Assert(t, wait > delay-tolerance && wait < delay+10*tolerance, "waited %v", wait)
+			assert.NilError(t, socket.Close())
+			assert.NilError(t, s.Close(context.Background()))
+		})
+	}
+}
+
+// Guards against requests of callers that have left, which are handled because their end is read after them.
+func TestCallerThatLeftBeforeItWasReadIsKnown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	left := make(chan bool, 1)
+	s := front.New(front.Config{
+		Listener: &lateListener{
+			Listener: listener,
+			wait:     time.Millisecond,
+		},
+		Handler: func(ctx context.Context, r *front.Request) front.Response {
+			left <- ctx.Err() != nil
+			return echo(ctx, r)
+		},
+		Limits: func() steer.RequestLimits { return steer.RequestLimits{} },
+	})
+	for range 150 {
+		socket, _ := dial(t, listener.Addr().String())
+		_, err := io.WriteString(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		assert.NilError(t, err)
+		assert.NilError(t, socket.Close())
+		assert.Assert(t, <-left)
+	}
+	assert.NilError(t, s.Close(context.Background()))
+}
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -160,7 +160,7 @@
 
 func (h *Handler) serve(ctx context.Context, r *front.Request) front.Response {
 	h.awaitPlan(ctx, r)
-	j, refusal := h.admit(r)
+	j, refusal := h.admit(ctx, r)
 	var response front.Response
 	if refusal == nil {
 		response, refusal = h.sendWithRetries(ctx, j)
@@ -194,7 +194,7 @@
 
 // admit determines the route, customer and deadline of a request and takes it from the customer's quota. It returns a refusal
 // if the request must not be forwarded.
-func (h *Handler) admit(r *front.Request) (*job, *steer.Refusal) {
+func (h *Handler) admit(ctx context.Context, r *front.Request) (*job, *steer.Refusal) {
 	j := &job{
 		request: r,
 		id:      r.Header.Get(h.config.Headers.RequestID),
@@ -222,6 +222,9 @@
 	}
 	j.deadline, j.limitedByRoute = h.deadline(r, j.route)
 	j.isRetry = h.retryDetector.isRetry(j.route.Name, h.callerTimeout(r))
+	if ctx.Err() != nil {
+		return j, newRefusal(steer.ReasonCallerLeft, http.StatusServiceUnavailable, 0)
+	}
 	if h.config.Draining() || h.endsTooLate(r, j) {
 		return j, newRefusal(steer.ReasonStopping, http.StatusServiceUnavailable, minRetryAfter)
 	}
@@ -235,7 +238,7 @@
 		return j, refusal
 	}
 	if j.customer != nil {
-		if ok, wait := h.config.Quotas.Take(r.Arrived, j.customer.Name); !ok {
+		if ok, wait := h.config.Quotas.Take(time.Now(), j.customer.Name); !ok {
 			return j, newRefusal(steer.ReasonRate, http.StatusTooManyRequests, addJitter(wait))
 		}
 	}
--- a/verdict.go
+++ b/verdict.go
@@ -61,6 +61,7 @@
 	ReasonTicketBusy    Reason = "ticket-busy"    // The request with this ticket is in progress.
 	ReasonTicketFull    Reason = "ticket-full"    // The ticket table is full.
 	ReasonDeadline      Reason = "deadline"       // The deadline passed.
+	ReasonCallerLeft    Reason = "caller-left"    // The caller had closed its connection.
 	ReasonStopping      Reason = "stopping"       // The host is shutting down.
 	ReasonTargetFailed  Reason = "target-failed"  // The target did not answer, or its answer was truncated.
 	ReasonFault         Reason = "fault"          // The host itself failed to handle the request.
