Stop accepting at last while callers connect without a pause

A stopping host cut requests in progress and reset the connections that waited, with requests on them, when its time ended: Close returned 'context deadline exceeded'.

Cause: a server that shuts down accepts until no connection has come for 1 ms. Callers that are refused come back faster than that on a fast machine, so the moment never came, and the time for the requests in progress was used up.

Change: after 300 ms the server closes its listener at the first moment at which no connection waits. That moment is checked before each accept.

Failed try: a socket filter that drops the first packet of new connections, so that the listener can be closed without a race.

Conclusion: what is left is one connection at most that is reset without having been read, which callers may send again.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -7,13 +7,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/semaphore"
-	"golang.org/x/sys/unix"
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
@@ -37,10 +35,12 @@
 
 	// acceptIdleTimeout is the time without a new connection after which a server that shuts down stops accepting. Once the
 	// shutdown has lasted for shortAcceptAfter, shortAcceptIdleTimeout replaces it: the shortest timeout that ends at a moment
-	// at which no connection waits to be accepted.
+	// at which no connection waits to be accepted. Callers that connect faster than that must not keep the server from stopping:
+	// after noIdleTimeoutAfter it stops at the first such moment.
 	acceptIdleTimeout      = 10 * time.Millisecond
 	shortAcceptIdleTimeout = time.Millisecond
 	shortAcceptAfter       = 100 * time.Millisecond
+	noIdleTimeoutAfter     = 300 * time.Millisecond
 
 	// finalFlushTime is the time for which a server that must stop waits until the handlers have returned and their responses are
 	// written. Handlers return as soon as their context ends.
@@ -170,6 +170,10 @@
 
 func (s *Server) accept() {
 	for {
+		if s.shutdownLasts(noIdleTimeoutAfter) && !hasPendingConns(s.config.Listener) {
+			_ = s.listener.Close() // Without delay: a connection that arrives before the close would be reset.
+			return
+		}
 		socket, err := s.listener.Accept()
 		var netErr net.Error
 		if s.shuttingDown.Load() && errors.As(err, &netErr) && netErr.Timeout() {
@@ -229,33 +233,16 @@
 // DisableKeepAlives makes each further response close its connection. New connections are still accepted.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// hasPendingConns reports whether connections wait to be accepted.
-func hasPendingConns(listener net.Listener) bool {
-	socket, ok := listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	hasPending := false
-	err = raw.Control(func(descriptor uintptr) {
-		events := []unix.PollFd{{
-			Fd:     int32(descriptor),
-			Events: unix.POLLIN,
-		}}
-		n, err := unix.Poll(events, 0)
-		hasPending = err == nil && n > 0 && events[0].Revents&unix.POLLIN != 0
-	})
-	return err == nil && hasPending
+// shutdownLasts reports whether the server has been shutting down for longer than d.
+func (s *Server) shutdownLasts(d time.Duration) bool {
+	return s.shuttingDown.Load() && time.Since(*s.shutdownStarted.Load()) > d
 }
 
 // setAcceptDeadline makes the server stop accepting soon, but not at once: closing the listener would reset the connections
 // that wait to be accepted, with the requests on them.
 func (s *Server) setAcceptDeadline() {
 	idleTimeout := acceptIdleTimeout
-	if time.Since(*s.shutdownStarted.Load()) > shortAcceptAfter {
+	if s.shutdownLasts(shortAcceptAfter) {
 		idleTimeout = shortAcceptIdleTimeout
 	}
 	listener, ok := s.config.Listener.(interface{ SetDeadline(t time.Time) error })
--- a/internal/edge/front/tcp.go
+++ b/internal/edge/front/tcp.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -12,26 +13,46 @@
 const tcpEstablished = 1
 
 // socketState returns how long ago the last bytes of a caller arrived in the kernel, and whether the caller has closed the
-// connection since, which reading it would show only after the bytes before. It returns zero values for what is no TCP
-// connection.
+// connection since, which reading it would show only after the bytes before. It returns zero values if the
+// kernel does not tell.
 func socketState(socket net.Conn) (age time.Duration, closed bool) {
-	tcp, ok := socket.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, true
-	}
 	var info *unix.TCPInfo
-	err = raw.Control(func(descriptor uintptr) {
-		info, _ = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO) // Nil after an error.
+	err := control(socket, func(descriptor int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
 	})
 	if err != nil {
-		return 0, true
-	}
-	if info == nil {
-		return 0, false
+		return 0, false // Reading or writing shows an error of the connection itself.
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, info.State != tcpEstablished
 }
+
+// hasPendingConns reports whether connections wait to be accepted.
+func hasPendingConns(listener net.Listener) bool {
+	hasPending := false
+	err := control(listener, func(descriptor int) error {
+		events := []unix.PollFd{{
+			Fd:     int32(descriptor),
+			Events: unix.POLLIN,
+		}}
+		n, err := unix.Poll(events, 0)
+		hasPending = n > 0 && events[0].Revents&unix.POLLIN != 0
+		return err
+	})
+	return err == nil && hasPending
+}
+
+// control calls a function with the descriptor of a listener or connection.
+func control(socket any, f func(descriptor int) error) error {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var result error
+	err = raw.Control(func(descriptor uintptr) { result = f(int(descriptor)) })
+	return errors.Join(err, result)
+}
