Bound the time of requests at the directory and the other servers

A caller that sends a body without end to the directory kept its connection, a descriptor and a goroutine, for good: net/http reads on after the handler has answered, and no deadline was set beyond the header's. So did one that does not read its responses.

Change: whole requests are read within 2 s, and responses written within 5 s, by the servers for look-ups, readiness, metrics and other hosts. Connections between hosts are taken over after their first request, which ends these deadlines.

platform.TestDirectoryClosesConnectionOfEndlessBody: still open after 10 s before, closed after 2 s now. The part about responses that are not read has no test of its own.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -33,11 +33,12 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's header by the servers other than the one for callers.
-	headerTimeout = 2 * time.Second
-
-	// idleTimeout closes idle connections to these servers. The platform and other hosts call more often.
-	idleTimeout = 30 * time.Second
+	// Limits of the servers other than the one for callers, whose requests and responses are short: readTimeout bounds the reading
+	// of a whole request, writeTimeout the time from its header to the end of the response, and idleTimeout the time between two
+	// requests of a connection. The platform and other hosts call more often.
+	readTimeout  = 2 * time.Second
+	writeTimeout = 5 * time.Second
+	idleTimeout  = 30 * time.Second
 
 	// drainServeFraction is the fraction of the grace period for which a stopping host still accepts requests on open and new
 	// connections, because callers keep answers of the directory for some seconds.
@@ -311,7 +312,7 @@
 }
 
 func (n *Node) startServer(listener net.Listener, server *http.Server) {
-	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	server.ReadTimeout, server.WriteTimeout, server.IdleTimeout = readTimeout, writeTimeout, idleTimeout
 	n.auxServers = append(n.auxServers, server)
 	n.wait.Add(1)
 	go func() {
