--- a/internal/edge/conns/conns.go
+++ b/internal/edge/conns/conns.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// reservedFraction is the fraction of the sockets that is kept for listeners, other hosts and the platform. A data centre of 47
-	// hosts, the mean of a fleet of 470, needs some 100 of them.
+	// reservedFraction is the fraction of the sockets that is kept for listeners, other hosts and the platform: 487 of 3,900. In a
+	// fleet of 470 hosts, a host has at most 128 connections to others.
 	reservedFraction = 0.125
 
 	// excessFraction is the fraction of the sockets that may be open beyond the limit, for connections whose requests are refused.
