Do not probe connections of callers with keep-alive packets

Cause, in part: Go makes four system calls for each accepted connection to turn on keep-alive probes. Connections of callers do not need them: idle ones are closed after the idle time-out, and a request in progress ends with its deadline.

Change: no probes on the listeners for callers and for the directory.

No test of its own: it changes no behaviour.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -141,17 +141,22 @@
 func listen(s *setup.Settings) (listenerSet, error) {
 	var p listenerSet
 	var open []net.Listener
+	// Connections of callers are closed when they are idle, so probes would only cost four system calls for each.
+	noProbes := net.ListenConfig{
+		KeepAlive: -1,
+	}
 	for _, l := range []struct {
 		address netip.AddrPort
 		dest    *net.Listener
+		config  net.ListenConfig
 	}{
-		{address: s.Listen, dest: &p.callers},
+		{address: s.Listen, dest: &p.callers, config: noProbes},
 		{address: s.ReadyListen, dest: &p.ready},
-		{address: s.DirectoryListen, dest: &p.directory},
+		{address: s.DirectoryListen, dest: &p.directory, config: noProbes},
 		{address: s.PeerListen, dest: &p.peers},
 		{address: s.MetricsListen, dest: &p.metrics},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := l.config.Listen(context.Background(), "tcp", l.address.String())
 		if err != nil {
 			for _, o := range open {
 				_ = o.Close() // The first error is the one that matters.
