Count failed accepts for each listener, and say more of the budget

Read as a newcomer would: the line on failed accepts added up those of all listeners, so two listeners that failed together reported each other's failures. The counter of the log is now the listener's own; the metric stays one for all. Metrics of the budget have names that say what they count, and the comments say what its users must do. No other behaviour changes.

--- a/internal/edge/conns/conns.go
+++ b/internal/edge/conns/conns.go
@@ -44,10 +44,11 @@
 	logger  log.Logger
 	limit   int // Connections above which idle ones are closed, and requests refused if there are none.
 	maximum int // Connections above which none is accepted.
-	gauge   metrics.Gauge
-	closed  metrics.Counter
-	excess  metrics.Counter
-	failed  metrics.Counter // Failed accepts.
+
+	openConns     metrics.Gauge
+	closedIdle    metrics.Counter
+	excess        metrics.Counter
+	failedAccepts metrics.Counter
 
 	mu     sync.Mutex
 	open   int
@@ -65,10 +66,11 @@
 	}
 	b := &Budget{
 		logger: log.With(c.Logger, "part", "conns"),
-		gauge:  metrics.GetOrRegisterGauge("conns-open", c.Metrics),
-		closed: metrics.GetOrRegisterCounter("conns-closed-idle", c.Metrics),
-		excess: metrics.GetOrRegisterCounter("conns-excess", c.Metrics),
-		failed: metrics.GetOrRegisterCounter("conns-accept-failures", c.Metrics),
+
+		openConns:     metrics.GetOrRegisterGauge("conns-open", c.Metrics),
+		closedIdle:    metrics.GetOrRegisterCounter("conns-closed-idle", c.Metrics),
+		excess:        metrics.GetOrRegisterCounter("conns-excess", c.Metrics),
+		failedAccepts: metrics.GetOrRegisterCounter("conns-accept-failures", c.Metrics),
 	}
 	descriptors, err := resourceLimit()
 	if err != nil {
@@ -101,10 +103,11 @@
 	removed     bool
 }
 
-// Add counts an open connection, which is in use at first. If there are more than the limit, it closes the connection that has
-// been idle for longest. It reports false if none is idle: the connection should then be closed soon. The function closeUnused
-// closes the connection unless it has come into use again, and reports whether it did; it must not call the budget. Remove must
-// be called when the connection is closed.
+// Add counts a connection, which is in use at first. If there are more than the limit, it closes the one that has been idle for
+// longest. It reports false if none is idle: the new connection should then be closed soon.
+//
+// The function closeUnused is called for an idle connection, which may have come into use meanwhile. It closes the connection
+// unless that is so, and reports whether it did. It must not call the budget. Remove must be called for each connection that ends.
 func (b *Budget) Add(closeUnused func() bool) (*Conn, bool) {
 	c := &Conn{
 		budget:      b,
@@ -112,7 +115,7 @@
 	}
 	b.mu.Lock()
 	b.open++
-	b.gauge.Update(int64(b.open))
+	b.openConns.Update(int64(b.open))
 	over := b.open - b.limit
 	b.mu.Unlock()
 	if over <= 0 || b.closeIdle(1, "limit") == 1 {
@@ -168,7 +171,7 @@
 	if closed == 0 {
 		return 0
 	}
-	b.closed.Inc(int64(closed))
+	b.closedIdle.Inc(int64(closed))
 	b.mu.Lock()
 	now := time.Now()
 	due := now.Sub(b.logged) >= logInterval
@@ -179,12 +182,12 @@
 	if due {
 		open, idle := b.counts()
 		_ = level.Info(b.logger).Log("msg", "Idle connections are closed.", "reason", reason, "open", open, "idle", idle,
-			"closed-in-all", b.closed.Count())
+			"closed-in-all", b.closedIdle.Count())
 	}
 	return closed
 }
 
-// SetIdle records that the connection has no request in progress.
+// SetIdle records that the connection is not in use. Its place in the order of idle connections is that of the first such call.
 func (c *Conn) SetIdle() {
 	b := c.budget
 	b.mu.Lock()
@@ -194,7 +197,7 @@
 	}
 }
 
-// SetUsed records that the connection has a request in progress.
+// SetUsed records that the connection is in use.
 func (c *Conn) SetUsed() {
 	b := c.budget
 	b.mu.Lock()
@@ -211,7 +214,7 @@
 	if !c.removed {
 		c.removed = true
 		b.open--
-		b.gauge.Update(int64(b.open))
+		b.openConns.Update(int64(b.open))
 	}
 }
 
--- a/internal/edge/conns/listen.go
+++ b/internal/edge/conns/listen.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -29,13 +28,12 @@
 	budget *Budget
 	waits  bool // Connections are accepted only while the budget has room.
 	logger log.Logger
-	failed metrics.Counter
 	closed atomic.Bool
 
 	// Used by Accept and Late only, which are not called concurrently.
-	pausedAt       time.Time // End of the last pause.
-	logged         time.Time
-	loggedFailures int64
+	pausedAt time.Time // End of the last pause.
+	logged   time.Time // When a failure was last logged.
+	failures int       // Since then.
 }
 
 // Listen returns a listener that accepts the connections of another one while the budget has room. Each must be counted.
@@ -52,7 +50,6 @@
 		Listener: l,
 		budget:   b,
 		logger:   log.With(b.logger, "address", l.Addr()),
-		failed:   b.failed,
 	}
 }
 
@@ -90,17 +87,17 @@
 
 // recordFailure counts a failed accept. It logs one line each logInterval at most, with the failures since the last one.
 func (l *Listener) recordFailure(now time.Time, err error) {
-	l.failed.Inc(1)
+	l.budget.failedAccepts.Inc(1)
+	l.failures++
 	if now.Sub(l.logged) < logInterval {
 		return
 	}
-	failures := l.failed.Count()
 	open, idle := l.budget.counts()
-	_ = level.Warn(l.logger).Log("msg", "Accept failed.", "err", err, "failures", failures-l.loggedFailures, "open", open, "idle", idle)
-	l.logged, l.loggedFailures = now, failures
+	_ = level.Warn(l.logger).Log("msg", "Accept failed.", "err", err, "failures", l.failures, "open", open, "idle", idle)
+	l.logged, l.failures = now, 0
 }
 
-// ConnState returns a function for the field of that name of one http.Server, which counts the connections of the server.
+// ConnState returns the ConnState function of an http.Server whose connections are counted. Each server needs one of its own.
 func (b *Budget) ConnState() func(net.Conn, http.ConnState) {
 	var counted sync.Map // *Conn by net.Conn.
 	return func(socket net.Conn, state http.ConnState) {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -64,7 +64,7 @@
 	Header  http.Header
 	Body    []byte
 	HasBody bool      // The request has a body, which may be empty.
-	Arrived time.Time // When its last byte was read. If the host has let it wait, when it arrived in the kernel or bytes after it did.
+	Arrived time.Time // When its last byte was read, or arrived in the kernel if the host has let the connection wait.
 
 	// BodyRefused means that the body was not read because the memory for bodies is exhausted. The connection closes after the
 	// response.
--- a/internal/edge/front/tcp.go
+++ b/internal/edge/front/tcp.go
@@ -13,8 +13,7 @@
 const tcpEstablished = 1
 
 // socketState returns how long ago the last bytes of a caller arrived in the kernel, and whether the caller has closed the
-// connection since, which reading it would show only after the bytes before. It returns zero values if the
-// kernel does not tell.
+// connection, which reading shows only after all bytes. It returns zero values if the kernel does not tell.
 func socketState(socket net.Conn) (age time.Duration, closed bool) {
 	var info *unix.TCPInfo
 	err := control(socket, func(descriptor int) (err error) {
