Bound connections by the memory of the process too

A process that may open many descriptors, a million by default on some systems, would accept connections until its memory limit kills it: the budget knew the descriptors only.

Change: connections may take half of the memory, 24 KB each. The limit of no machine of the site files changes (184 MB and 4100 descriptors, 284 and 4100, 536 and 8192); the maximum beyond it is 3625 instead of 3655, since it is now relative to the limit.

conns.TestMemoryBoundsConnections failed before.

--- a/internal/edge/conns/conns.go
+++ b/internal/edge/conns/conns.go
@@ -19,10 +19,15 @@
 	// fleet of 470 hosts, a host has at most 128 connections to others.
 	reservedFraction = 0.125
 
-	// excessFraction is the fraction of the sockets that may be open beyond the limit, for connections whose requests are refused.
-	// It is a part of reservedFraction.
+	// excessFraction is the number of connections beyond the limit, relative to it, that are accepted to refuse their requests. They
+	// use a part of the reserved sockets.
 	excessFraction = 0.0625
 
+	// memoryFraction is the fraction of the memory that may hold connections, and connMemory what one of them takes in bytes, with
+	// its goroutine and buffers: a host with 3,700 connections had 82 MB more than an idle one.
+	memoryFraction = 0.5
+	connMemory     = 24 << 10
+
 	// exhaustedFraction is the fraction of the open connections that is closed, if they are idle, when the system has no
 	// descriptor left although the limit is not reached.
 	exhaustedFraction = 0.0625
@@ -35,6 +40,7 @@
 type Config struct {
 	Descriptors     int              // Descriptors of the process. 0, or more than its resource limit, selects the resource limit.
 	FileDescriptors int              // Descriptors that are no sockets.
+	Memory          int64            // Memory of the process in bytes, a fraction of which may hold connections. 0 means any number.
 	Logger          log.Logger       // Nil means no logging.
 	Metrics         metrics.Registry // Nil means a private registry.
 }
@@ -56,7 +62,7 @@
 	logged time.Time
 }
 
-// New returns a budget for the descriptors of the process.
+// New returns a budget for the descriptors and the memory of the process.
 func New(c Config) *Budget {
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
@@ -80,8 +86,12 @@
 		descriptors = min(descriptors, c.Descriptors)
 	}
 	sockets := float64(max(descriptors-c.FileDescriptors, 1))
-	b.limit = max(int((1-reservedFraction)*sockets), 1)
-	b.maximum = b.limit + max(int(excessFraction*sockets), 1)
+	limit := (1 - reservedFraction) * sockets
+	if c.Memory > 0 {
+		limit = min(limit, memoryFraction*float64(c.Memory)/connMemory)
+	}
+	b.limit = max(int(limit), 1)
+	b.maximum = b.limit + max(int(excessFraction*limit), 1)
 	_ = level.Info(b.logger).Log("msg", "Connections are limited.", "descriptors", descriptors, "limit", b.limit, "maximum", b.maximum)
 	return b
 }
--- a/internal/edge/conns/conns_test.go
+++ b/internal/edge/conns/conns_test.go
@@ -68,6 +68,20 @@
 	assert.Assert(t, !within)
 }
 
+// Guards against a process that may open more connections than its memory holds.
+func TestMemoryBoundsConnections(t *testing.T) {
+	b := conns.New(conns.Config{
+		Descriptors: 1000,
+		Memory:      1 << 20,
+	})
+	for range 21 { // Half of the memory, 24 KB each.
+		_, within, _ := add(b, true)
+		assert.Assert(t, within)
+	}
+	_, within, _ := add(b, true)
+	assert.Assert(t, !within)
+}
+
 // Guards against a connection that is counted as closed although it has come into use again.
 func TestConnectionInUseAgainIsNotClosed(t *testing.T) {
 	b := newBudget()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -190,6 +190,7 @@
 	n.conns = conns.New(conns.Config{
 		Descriptors:     s.Descriptors,
 		FileDescriptors: s.FileDescriptors,
+		Memory:          int64(s.MemoryMB) << 20,
 		Logger:          c.Logger,
 		Metrics:         c.Metrics,
 	})
