Review: SIGHUP ends a host that is being stopped

Planned work only: SIGTERM and then SIGHUP. The handler of SIGHUP is gone once the stop has begun, so the signal ends the process and cuts the requests in progress.

--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -29,6 +29,8 @@
 type host struct {
 	id, zone, region string
 	front, ready     string
+	settings         string
+	output           *os.File
 	command          *exec.Cmd
 	storeProxy       *proxy
 	exited           chan struct{}
@@ -124,8 +126,7 @@
 
 // addHost starts a host with settings as the template of the deploy file makes them.
 func (f *fleet) addHost(id, zone string) *host {
-	h := &host{id: id, zone: zone, region: f.regions[zone], front: freeAddress(), ready: freeAddress(), storeProxy: newProxy(f.address),
-		exited: make(chan struct{})}
+	h := &host{id: id, zone: zone, region: f.regions[zone], front: freeAddress(), ready: freeAddress(), storeProxy: newProxy(f.address)}
 	settings, err := json.MarshalIndent(map[string]any{
 		"host-id": id, "data-centre": zone, "region": h.region, "regions": f.regions, "listen": h.front, "ready-listen": h.ready,
 		"directory-listen": freeAddress(), "peer-listen": freeAddress(), "metrics-listen": freeAddress(),
@@ -138,20 +139,27 @@
 	check(os.WriteFile(path, settings, 0o600))
 	output, err := os.Create(filepath.Join(f.dir, id+".log"))
 	check(err)
-	h.command = exec.Command("target/monsoonhub", "serve", "--settings", path)
-	h.command.Stdout, h.command.Stderr = output, output
-	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	check(h.command.Start())
-	go func() {
-		_ = h.command.Wait() // The record says when the process ended.
-		f.logf("process of %s ended: %s", h.id, h.command.ProcessState)
-		close(h.exited)
-	}()
+	h.settings, h.output = path, output
 	f.hosts = append(f.hosts, h)
-	f.logf("host %s started, callers at %s, store through %s", id, h.front, h.storeProxy.address())
+	f.restart(h)
 	return h
 }
 
+// restart starts the process of a host.
+func (f *fleet) restart(h *host) {
+	command, exited := exec.Command("target/monsoonhub", "serve", "--settings", h.settings), make(chan struct{})
+	command.Stdout, command.Stderr = h.output, h.output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	check(command.Start())
+	go func() {
+		_ = command.Wait() // The record says how the process ended.
+		f.logf("process of %s ended: %s", h.id, command.ProcessState)
+		close(exited)
+	}()
+	h.command, h.exited = command, exited
+	f.logf("host %s started, callers at %s, store through %s", h.id, h.front, h.storeProxy.address())
+}
+
 // waitReady waits until all hosts are ready. It reports false after ten seconds.
 func (f *fleet) waitReady() bool {
 	deadline := time.Now().Add(10 * time.Second)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -8,6 +8,7 @@
 )
 
 var cases = map[string]func() int{
+	"reload":   reloadCase,
 	"cold":     coldCase,
 	"pipeline": pipelineCase,
 	"watch":    watchCase,
--- a/review/_standin/popular.go
+++ b/review/_standin/popular.go
@@ -15,7 +15,7 @@
 		work    = 500 * time.Millisecond
 		down    = 4500 * time.Millisecond // cold_return: for_s
 		settle  = 15 * time.Second        // recover-s, far beyond what a calm installation needs.
-		warmup  = 3 * time.Second // warmup-s
+		warmup  = 3 * time.Second         // warmup-s
 		measure = 40 * time.Second
 	)
 	f := newFleet(map[string]string{"golfo-a": "golfo", "pacifico-a": "pacifico"})
@@ -106,6 +106,13 @@
 	time.Sleep(measure)
 	close(done)
 	group.Wait()
+	others := 0
+	for range 10 {
+		if f.send(f.hosts[0], request{method: "GET", path: "/reservas/manana", deadline: 4 * time.Second}).status == 200 {
+			others++
+		}
+	}
+	f.logf("another query on the same route: %d of 10 served", others)
 	first, added := after["/convoyes/hoy"], after["/reservas/hoy"]
 	f.logf("in %v of calm: on the route that was added later %d of %d requests were served, on the first route %d of %d", measure,
 		added.served, added.all, first.served, first.all)
