--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,8 +61,7 @@
 	record, err := os.Create(os.Getenv("RECORD"))
 	check(err)
 	f := &fleet{dir: dir, store: newStore(historySeconds * time.Second), regions: regions, record: record, start: time.Now()}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
+	l := listen()
 	f.address = l.Addr().String()
 	server := &http.Server{Handler: f.store}
 	go func() { _ = server.Serve(l) }() // Ends with the process.
@@ -109,17 +109,26 @@
 // register writes the entry of an instance and returns the moment of the acknowledgement.
 func (f *fleet) register(s *instance) time.Time { return f.store.Put("servers/"+s.id, s.entry()) }
 
-var usedPorts = map[int]bool{}
+// loopback is an address of this run alone, so that no connection of another run takes a port that a host is to listen on.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
+// listen opens a listener on a free port.
+func listen() net.Listener {
+	l, err := net.Listen("tcp", loopback+":0")
+	check(err)
+	return l
+}
+
+var usedPorts = map[string]bool{}
 
 func freeAddress() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
-		port := l.Addr().(*net.TCPAddr).Port
+		l := listen()
+		address := l.Addr().String()
 		check(l.Close())
-		if !usedPorts[port] {
-			usedPorts[port] = true
-			return fmt.Sprintf("127.0.0.1:%d", port)
+		if !usedPorts[address] {
+			usedPorts[address] = true
+			return address
 		}
 	}
 }
--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -52,15 +52,12 @@
 
 func startInstance(id, service, zone string, work time.Duration, report func(arrival)) *instance {
 	s := &instance{id: id, service: service, zone: zone, slots: 9, work: work, report: report, state: "ready", conns: map[net.Conn]bool{}}
-	s.listen("127.0.0.1:0")
+	s.listen()
 	return s
 }
 
-func (s *instance) listen(address string) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		panic(err)
-	}
+func (s *instance) listen() {
+	l := listen()
 	s.mu.Lock()
 	s.listener, s.address, s.born = l, l.Addr().String(), time.Now()
 	s.mu.Unlock()
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -15,10 +15,7 @@
 }
 
 func newProxy(to string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
+	l := listen()
 	p := &proxy{listener: l, to: to}
 	go func() {
 		for {
