Review: late copies of refusals make bookings run twice

One disruption: an instance breaks off one answer in 34 and sends a second copy of the answer before late. The host takes both for one answer and believes the refusal in it.

--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -81,18 +81,21 @@
 	_, _ = fmt.Fprintf(f.record, "%8.3f %s\n", time.Since(f.start).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
+// arrive records a request that reached an instance.
+func (f *fleet) arrive(a arrival) {
+	f.mu.Lock()
+	f.arrivals = append(f.arrivals, a)
+	f.mu.Unlock()
+	word := "rejects"
+	if a.ran {
+		word = "runs"
+	}
+	f.logf("instance %s %s request %s %s", a.instance, word, a.id, a.path)
+}
+
 // addInstance starts an instance and registers it.
 func (f *fleet) addInstance(id, service, zone string, work time.Duration) *instance {
-	s := startInstance(id, service, zone, work, func(a arrival) {
-		f.mu.Lock()
-		f.arrivals = append(f.arrivals, a)
-		f.mu.Unlock()
-		word := "rejects"
-		if a.ran {
-			word = "runs"
-		}
-		f.logf("instance %s %s request %s %s", a.instance, word, a.id, a.path)
-	})
+	s := startInstance(id, service, zone, work, f.arrive)
 	s.ended = func(e ending) {
 		f.mu.Lock()
 		f.ends = append(f.ends, e)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -8,6 +8,8 @@
 )
 
 var cases = map[string]func() int{
+	"mixed":    mixedCase,
+	"twice":    twiceCase,
 	"reload":   reloadCase,
 	"cold":     coldCase,
 	"pipeline": pipelineCase,
