--- a/review/_standin/cold.go
+++ b/review/_standin/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,13 +14,14 @@
 		cutTime  = 5500 * time.Millisecond // core_cut: for_s
 		warmup   = 3 * time.Second         // warmup-s
 		bound    = 15*1.5 + 5              // warmup-per-s x cold-over + cold-slack
+		limit    = 2 * 15                  // The instance crashes at more in one second: twice warmup-per-s.
 		perRound = 26300 * time.Microsecond
 	)
 	f := newFleet(map[string]string{"golfo-a": "golfo", "pacifico-a": "pacifico"})
 	defer f.stop(true)
 	c := newConfig()
 	c.service("reservas")
-	c.route("queries", "/reservas/", "safe", "reservas")
+	c.route("bookings", "/reservas/", "unsafe", "reservas")
 	f.store.Put("op/config", c.next())
 	cold := f.addInstance("i-cold", "reservas", "golfo-a", 40*time.Millisecond)
 	f.addInstance("i-warm-0", "reservas", "golfo-a", 40*time.Millisecond)
@@ -34,6 +36,8 @@
 	}
 	h := f.hosts[0]
 	stop := make(chan struct{})
+	var mu sync.Mutex
+	seen := map[string]int{} // Status by request.
 	var group sync.WaitGroup
 	group.Add(1)
 	go func() { // 38 requests a second for each of the three instances of the region.
@@ -48,7 +52,10 @@
 				group.Add(1)
 				go func() {
 					defer group.Done()
-					f.send(h, request{method: "GET", path: "/reservas/1", deadline: 2 * time.Second})
+					x := f.send(h, request{method: "POST", path: "/reservas/1", body: strings.NewReader("booking"), length: 7, deadline: 2 * time.Second})
+					mu.Lock()
+					seen[x.id] = x.status
+					mu.Unlock()
 				}()
 			}
 		}
@@ -61,7 +68,7 @@
 	cutAt := time.Now()
 	time.Sleep(time.Second)
 	cold.mu.Lock()
-	cold.warmupLeft = warmup
+	cold.warmupLeft, cold.coldLimit, cold.recent = warmup, limit, nil
 	cold.mu.Unlock()
 	since := f.register(cold)
 	f.logf("instance %s is cold for %v, acknowledged", cold.id, warmup)
@@ -77,9 +84,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var times []time.Time
+	lost := 0
 	for _, a := range f.arrivals {
 		if a.instance == cold.id && a.at.After(since) && a.at.Before(since.Add(warmup)) {
 			times = append(times, a.at)
+			if seen[a.id] != 200 {
+				lost++
+			}
 		}
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
@@ -88,7 +99,8 @@
 		n := sort.Search(len(times), func(j int) bool { return !times[j].Before(times[i].Add(time.Second)) })
 		most = max(most, n-i)
 	}
-	f.logf("%d requests reached %s in the %v that it was cold, at most %d in one second; the bound is %.1f", len(times), cold.id, warmup, most, bound)
+	f.logf("%d requests reached %s in the %v that it was cold, at most %d in one second, the bound is %.1f; %d bookings that reached it were lost", len(times),
+		cold.id, warmup, most, bound, lost)
 	if len(f.arrivals) < 300 {
 		return 2
 	}
--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -47,6 +47,8 @@
 	busyFor  time.Duration // If set, requests are turned away with 503 and Retry-After.
 
 	warmupLeft time.Duration // How long it stays cold, as it says of itself.
+	coldLimit  int           // Requests in one second at which it crashes while it is cold.
+	recent     []time.Time   // Requests of the last second.
 	ended      func(ending)
 }
 
@@ -135,6 +137,12 @@
 		s.running++
 	}
 	running := s.running
+	now := time.Now()
+	s.recent = append(s.recent, now)
+	for now.Sub(s.recent[0]) > time.Second {
+		s.recent = s.recent[1:]
+	}
+	crashes := s.warmupLeft > 0 && s.coldLimit > 0 && len(s.recent) > s.coldLimit
 	s.mu.Unlock()
 	head := fmt.Sprintf("X-Monsoonhub-Request-Id: %s\r\nKeep-Alive: timeout=10\r\nX-Monsoonhub-Server-Load: %d,%d,%d\r\n", id,
 		min(running, s.slots), max(0, running-s.slots), s.slots)
@@ -142,6 +150,10 @@
 		head += "Server-Leaving: 1\r\n"
 	}
 	s.report(arrival{at: time.Now(), instance: s.id, id: id, path: r.URL.Path, ran: busy == 0})
+	if crashes {
+		s.crash()
+		return false
+	}
 	if busy > 0 {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sX-Monsoonhub-Not-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n",
 			head, busy.Seconds())
