--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -9,6 +9,7 @@
 
 var cases = map[string]func() int{
 	"mixed":    mixedCase,
+	"writer":   writerCase,
 	"twice":    twiceCase,
 	"reload":   reloadCase,
 	"cold":     coldCase,
