--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func() int{
 	"mixed":    mixedCase,
 	"writer":   writerCase,
+	"large":    largeCase,
 	"twice":    twiceCase,
 	"reload":   reloadCase,
 	"cold":     coldCase,
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -12,6 +12,7 @@
 	listener net.Listener
 	to       string
 	cut      atomic.Bool
+	era      atomic.Int64 // Connections of an earlier era are silent for good.
 }
 
 func newProxy(to string) *proxy {
@@ -31,16 +32,20 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// pass waits while the proxy is cut.
-func (p *proxy) pass() {
-	for p.cut.Load() {
+// silence makes the open connections deliver nothing more, in either direction and for good. New ones work.
+func (p *proxy) silence() { p.era.Add(1) }
+
+// pass waits while the proxy is cut, and for good on a connection that has been silenced.
+func (p *proxy) pass(era int64) {
+	for p.cut.Load() || era != p.era.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
 func (p *proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }() // Its end is all that matters.
-	p.pass()
+	era := p.era.Load()
+	p.pass(era)
 	u, err := net.Dial("tcp", p.to)
 	if err != nil {
 		return
@@ -51,7 +56,7 @@
 		buffer := make([]byte, 64<<10)
 		for {
 			n, err := from.Read(buffer)
-			p.pass()
+			p.pass(era)
 			if n > 0 {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					break
