Stop gracefully on SIGQUIT and SIGABRT

What callers saw: these two signals end a host at once, with exit status 2, and cut off all requests in progress.

The default action of the Go runtime, which writes the stacks and exits, was in place while requests were in progress.

Change: a daemon writes the stacks of all goroutines to standard error, 1 MB at most and once a second at most, and stops as with SIGTERM.

--- a/internal/ops/cmds/host.go
+++ b/internal/ops/cmds/host.go
@@ -27,8 +27,8 @@
 	c := &cobra.Command{
 		Use:   "host --settings FILE",
 		Short: "Run the daemon of one entry host",
-		Long: "Runs the daemon of one entry host. SIGTERM and SIGINT start a graceful shutdown. SIGHUP has no " +
-			"effect: the settings are read at the start only.",
+		Long: "Runs the daemon of one entry host. SIGTERM and SIGINT start a graceful shutdown, and SIGQUIT writes the " +
+			"stacks of all goroutines before it. SIGHUP has no effect: the settings are read at the start only.",
 		Example:     "  monsoonhub host --settings host.yaml",
 		Args:        asUsageError(cobra.NoArgs),
 		Annotations: map[string]string{daemonAnnotation: ""},
@@ -44,7 +44,7 @@
 }
 
 func runHost(c *cobra.Command, path string) error {
-	_ = sigs.Daemon()
+	ctx, _ := sigs.Daemon(c.Context(), c.ErrOrStderr())
 	settings, err := config.Load(path)
 	if err != nil {
 		return newUsageError(err)
@@ -55,7 +55,7 @@
 	}
 	logger := telem.NewLogger(c.ErrOrStderr(), settings.LogLevel)
 	registry := metrics.NewRegistry()
-	tracer, stopTracer, err := telem.NewTracer(c.Context(), telem.TraceConfig{
+	tracer, stopTracer, err := telem.NewTracer(ctx, telem.TraceConfig{
 		HostID:      settings.HostID,
 		Exporter:    settings.Trace.Exporter,
 		Endpoint:    settings.Trace.Endpoint,
@@ -86,7 +86,7 @@
 	if err := printAddresses(c.OutOrStdout(), host); err != nil {
 		return err
 	}
-	<-c.Context().Done()
+	<-ctx.Done()
 	return stopHost(logger, host, stopTracer)
 }
 
--- a/internal/ops/cmds/serve.go
+++ b/internal/ops/cmds/serve.go
@@ -38,7 +38,8 @@
 		Use:   "serve --settings FILE",
 		Short: "Run one host on the platform",
 		Long: "Runs one host on the platform: it serves callers, the directory, readiness checks, " +
-			"peers and metrics. SIGTERM and SIGINT start a graceful shutdown, and SIGHUP loads the settings.",
+			"peers and metrics. SIGTERM and SIGINT start a graceful shutdown, SIGHUP loads the settings, and SIGQUIT " +
+			"writes the stacks of all goroutines before a graceful shutdown.",
 		Example:     "  monsoonhub serve --settings settings.yaml",
 		Args:        asUsageError(cobra.NoArgs),
 		Annotations: map[string]string{daemonAnnotation: ""},
@@ -55,7 +56,7 @@
 
 func runServe(c *cobra.Command, path string) error {
 	// Before the settings are read, so that a SIGHUP for a change of theirs is never lost.
-	hangups := sigs.Daemon()
+	ctx, hangups := sigs.Daemon(c.Context(), c.ErrOrStderr())
 	settings, err := setup.Load(path)
 	if err != nil {
 		return newUsageError(err)
@@ -89,8 +90,8 @@
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
-	watchSettings(c.Context(), hangups, path, logger, host.Reload)
-	if err := host.Shutdown(context.WithoutCancel(c.Context())); err != nil {
+	watchSettings(ctx, hangups, path, logger, host.Reload)
+	if err := host.Shutdown(context.WithoutCancel(ctx)); err != nil {
 		_ = level.Warn(logger).Log("part", "node", "msg", "Requests were cut off at shutdown.", "err", err)
 	}
 	return nil
--- a/internal/ops/sigs/sigs.go
+++ b/internal/ops/sigs/sigs.go
@@ -2,9 +2,20 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
+	"time"
+)
+
+const (
+	// maxStackBytes bounds the stacks that are written, in bytes.
+	maxStackBytes = 1 << 20
+
+	// minDumpInterval is the minimum time between two dumps of the stacks, each of which stops all goroutines.
+	minDumpInterval = time.Second
 )
 
 // WithStop returns a context that ends with the first SIGTERM or SIGINT.
@@ -27,10 +38,22 @@
 	return ctx
 }
 
-// Daemon takes over SIGHUP of a process that serves requests. It returns a channel that receives it. Signals that arrive while
-// the channel is full are dropped.
-func Daemon() <-chan os.Signal {
+// Daemon takes over the signals of a process that serves requests. It returns a context that also ends with SIGQUIT or
+// SIGABRT, which write the stacks of all goroutines to w, and a channel that receives SIGHUP. Signals that arrive while the
+// channel is full are dropped.
+func Daemon(ctx context.Context, w io.Writer) (context.Context, <-chan os.Signal) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	return hangups
+	aborts := make(chan os.Signal, 1)
+	signal.Notify(aborts, syscall.SIGQUIT, syscall.SIGABRT)
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for range aborts {
+			cancel()
+			stacks := make([]byte, maxStackBytes)
+			_, _ = w.Write(stacks[:runtime.Stack(stacks, true)]) // There is nowhere to report an error.
+			time.Sleep(minDumpInterval)
+		}
+	}()
+	return ctx, hangups
 }
