Keep a host running without a reader of its logs

What callers saw: when the process that reads a host's standard output ends, the host's next log line raises SIGPIPE, and all requests in progress are cut off. SIGTSTP, SIGTTIN and SIGTTOU suspend a host, and requests hang until SIGCONT.

Cause: the Go runtime ends a process by SIGPIPE if a write to standard output or error finds no reader, unless the signal is taken over.

Change: daemons ignore SIGPIPE and the signals of job control.

Each signal from 1 to 64 sent to an idle host: 20, 21 and 22 suspended it before, none after. What still ends a host: SIGKILL, the signals that report a fault of the program itself (4, 5, 7, 8, 11, 16, 31), which Go programs cannot take over, and 32, which the C library reserves.

--- a/internal/ops/cmds/serve.go
+++ b/internal/ops/cmds/serve.go
@@ -39,7 +39,7 @@
 		Short: "Run one host on the platform",
 		Long: "Runs one host on the platform: it serves callers, the directory, readiness checks, " +
 			"peers and metrics. SIGTERM and SIGINT start a graceful shutdown, SIGHUP loads the settings, and SIGQUIT " +
-			"writes the stacks of all goroutines before a graceful shutdown.",
+			"writes the stacks of all goroutines before a graceful shutdown. No other signal ends it.",
 		Example:     "  monsoonhub serve --settings settings.yaml",
 		Args:        asUsageError(cobra.NoArgs),
 		Annotations: map[string]string{daemonAnnotation: ""},
--- a/internal/ops/sigs/doc.go
+++ b/internal/ops/sigs/doc.go
@@ -5,6 +5,7 @@
 //   - SIGTERM and SIGINT stop the process. Later ones have no effect.
 //   - SIGHUP makes a daemon load its settings, and stops a tool.
 //   - SIGQUIT and SIGABRT write the stacks of all goroutines and stop a daemon.
+//   - SIGPIPE and the signals of job control have no effect on a daemon: it goes on without a reader of its logs or a terminal.
 //
 // The Go runtime ignores the other signals, except those that report a fault of the program itself.
 package sigs
--- a/internal/ops/sigs/sigs.go
+++ b/internal/ops/sigs/sigs.go
@@ -42,6 +42,7 @@
 // SIGABRT, which write the stacks of all goroutines to w, and a channel that receives SIGHUP. Signals that arrive while the
 // channel is full are dropped.
 func Daemon(ctx context.Context, w io.Writer) (context.Context, <-chan os.Signal) {
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	aborts := make(chan os.Signal, 1)
