Conclude nothing from bytes of several answers

What callers saw: a booking that had run was taken for refused.

Cause: a target breaks off an answer and goes on, on the same connection, with a late copy of an earlier one. net/http reads a line that is broken off and the next status line as one header, and both heads as one. The first value of each header counted, so the id was that of the broken answer and the rest that of the copy. The same holds for a body: a copy fills up what is missing of it, with the right id and signature.

Change: package answer recognises several answers in one: a status line or invalid bytes within a head, a header twice that one answer has once, the head of another answer within a body. Beyond that the id of the request must be there, an answer that says "not run" can be neither a success nor signed, "gone" needs the id of another target, and a connection with a stray answer is not used again. In doubt the request may have run, nothing is learned of the target, and the connection is closed. A body that speaks of HTTP is delivered unless more bytes follow it.

Conclusion: bytes that fill up a body and look like no answer can't be told from it, since the signature is opaque to hosts.

--- /dev/null
+++ b/internal/edge/answer/answer.go
@@ -0,0 +1,132 @@
+// Package answer recognises bytes that a client reads as one HTTP answer although they are not: a target may break off an answer
+// anywhere and go on with another one on the same connection, such as a late copy of the answer before it. Nothing may be
+// concluded from such bytes, not even that a request has not run.
+package answer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrNotOne means that bytes which were read as an answer are not one answer to the request.
+var ErrNotOne = errors.New("not one answer to the request")
+
+// versionPrefix begins each status line.
+const versionPrefix = "HTTP/1."
+
+// statusPattern matches the part of a status line that is in no value of a header otherwise.
+var statusPattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// CheckHead returns ErrNotOne if the head of an answer cannot be one head as its sender wrote it: it contains another status
+// line, bytes that no head may contain, or one of the given headers more than once.
+func CheckHead(response *http.Response, single ...string) error {
+	if err := checkText(response.Status); err != nil {
+		return err
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if err := checkText(value); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range single {
+		if n := len(response.Header.Values(name)); n > 1 {
+			return fmt.Errorf("%w: %d headers %s", ErrNotOne, n, name)
+		}
+	}
+	return nil
+}
+
+func checkText(text string) error {
+	switch {
+	case strings.Contains(text, versionPrefix) && statusPattern.MatchString(text):
+		return fmt.Errorf("%w: status line in %q", ErrNotOne, text)
+	case !httpguts.ValidHeaderFieldValue(text):
+		return fmt.Errorf("%w: invalid bytes in %q", ErrNotOne, text)
+	}
+	return nil
+}
+
+// CheckBody returns ErrNotOne if another answer begins within a body. Rest holds the bytes that followed the body. A text
+// about HTTP is told from an answer by its lack of the header with the given name, which every answer has, and by its end.
+func CheckBody(body, rest []byte, idName string) error {
+	data := body
+	if len(rest) > 0 {
+		data = bytes.Join([][]byte{body, rest}, nil)
+	}
+	found := findHead(data, len(body), idName)
+	if found == headOfAnswer || found == headDoubtful && len(rest) > 0 {
+		return fmt.Errorf("%w: another one begins in its body", ErrNotOne)
+	}
+	return nil
+}
+
+// IsDoubtful reports whether a body may contain the beginning of another answer, which the bytes that follow the body decide.
+func IsDoubtful(body []byte, idName string) bool {
+	for n := 1; n < len(versionPrefix); n++ {
+		if bytes.HasSuffix(body, []byte(versionPrefix[:n])) {
+			return true
+		}
+	}
+	return findHead(body, len(body), idName) == headDoubtful
+}
+
+// headKind says what looks like the head of an answer in a body.
+type headKind int
+
+const (
+	headNone     headKind = iota
+	headDoubtful          // Its end or the header that every answer has is missing.
+	headOfAnswer
+)
+
+// findHead looks for the head of an answer that begins in the first n bytes of data.
+func findHead(data []byte, n int, idName string) headKind {
+	kind := headNone
+	for start := 0; start < n; start += len(versionPrefix) {
+		i := bytes.Index(data[start:], []byte(versionPrefix))
+		if i < 0 || start+i >= n {
+			break
+		}
+		start += i
+		kind = max(kind, classifyHead(data[start:], idName))
+	}
+	return kind
+}
+
+var (
+	lineEnd = []byte("\r\n")
+
+	// statusLine matches a status line, and statusLineBegin any beginning of one.
+	statusLine      = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9](?: |$)`)
+	statusLineBegin = regexp.MustCompile(`^HTTP/1\.(?:$|[01](?:$| (?:$|[1-5](?:$|[0-9](?:$|[0-9](?:$| ))))))`)
+)
+
+// classifyHead classifies data that begins with versionPrefix.
+func classifyHead(data []byte, idName string) headKind {
+	line, data, complete := bytes.Cut(data, lineEnd)
+	if complete && !statusLine.Match(line) || !statusLineBegin.Match(line) {
+		return headNone
+	}
+	for complete {
+		line, data, complete = bytes.Cut(data, lineEnd)
+		if len(line) == 0 && complete {
+			return headDoubtful
+		}
+		name, _, hasColon := strings.Cut(string(line), ":")
+		if hasColon && strings.EqualFold(name, idName) {
+			return headOfAnswer
+		}
+		if complete && (!hasColon || !httpguts.ValidHeaderFieldName(name)) {
+			return headNone
+		}
+	}
+	return headDoubtful
+}
--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -116,19 +116,21 @@
 
 // Pool sends calls to targets and keeps idle connections for reuse.
 type Pool struct {
-	headers      steer.HeaderNames
-	memoryBudget *memoryBudget
-	dial         steer.Dial
-	conns        *conns.Budget
-	dials        metrics.Counter
-	noMemory     metrics.Counter
-	strayAnswers metrics.Counter
-	mu           sync.Mutex
-	idle         map[string][]*conn       // By target ID; the connection that has been idle for longest comes first.
-	staleUntil   time.Time                // End of the time for which targets are suspected of dropping idle connections.
-	meanDialTime map[string]time.Duration // EWMA of the time of opening a connection, by data centre.
-	cancel       context.CancelFunc
-	done         chan struct{}
+	headers       steer.HeaderNames
+	memoryBudget  *memoryBudget
+	dial          steer.Dial
+	conns         *conns.Budget
+	dials         metrics.Counter
+	noMemory      metrics.Counter
+	strayAnswers  metrics.Counter // Answers to other requests than the one that waits.
+	brokenAnswers metrics.Counter // Bytes that are not one answer to the request that waits.
+	singleHeaders []string        // Headers that one answer has once at most.
+	mu            sync.Mutex
+	idle          map[string][]*conn       // By target ID; the connection that has been idle for longest comes first.
+	staleUntil    time.Time                // End of the time for which targets are suspected of dropping idle connections.
+	meanDialTime  map[string]time.Duration // EWMA of the time of opening a connection, by data centre.
+	cancel        context.CancelFunc
+	done          chan struct{}
 }
 
 // New returns a pool and starts its sweeps. Stop must be called to end them.
@@ -157,10 +159,13 @@
 		dials:        metrics.GetOrRegisterCounter("back-dials", c.Metrics),
 		noMemory:     metrics.GetOrRegisterCounter("back-no-memory", c.Metrics),
 		strayAnswers: metrics.GetOrRegisterCounter("back-stray-answers", c.Metrics),
-		idle:         map[string][]*conn{},
-		meanDialTime: map[string]time.Duration{},
-		cancel:       cancel,
-		done:         make(chan struct{}),
+		singleHeaders: []string{c.Headers.RequestID, c.Headers.Signature, c.Headers.NotRun, c.Headers.Load, c.Headers.Limit,
+			c.Headers.TargetID, c.Headers.RetryAfter, "Keep-Alive", "Content-Type", "Date"},
+		brokenAnswers: metrics.GetOrRegisterCounter("back-broken-answers", c.Metrics),
+		idle:          map[string][]*conn{},
+		meanDialTime:  map[string]time.Duration{},
+		cancel:        cancel,
+		done:          make(chan struct{}),
 	}
 	go func() {
 		defer close(p.done)
@@ -256,11 +261,13 @@
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	x := exchange{
-		conn:         c,
-		call:         call,
-		names:        p.headers,
-		strayAnswers: p.strayAnswers,
-		reserved:     reserved,
+		conn:          c,
+		call:          call,
+		names:         p.headers,
+		strayAnswers:  p.strayAnswers,
+		brokenAnswers: p.brokenAnswers,
+		singleHeaders: p.singleHeaders,
+		reserved:      reserved,
 	}
 	result := x.run(ctx)
 	result.Reused = reused
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
@@ -33,6 +34,10 @@
 	// finishFraction is the fraction of the time left at the first byte of an answer within which the answer must be complete
 	// if its request can be retried.
 	finishFraction = 0.5
+
+	// maxSpliceWait is how long the bytes after a body are awaited that may be part of several answers. Segments of one write arrive
+	// one after the other.
+	maxSpliceWait = 20 * time.Millisecond
 )
 
 // ErrUnfinished means that an answer began but was not complete in time to try another target.
@@ -42,7 +47,9 @@
 	errTooManyStrayAnswers = errors.New("answers of other requests came first")
 	errUnsigned            = errors.New("success without a signature of the target")
 	errAnswerTooLarge      = errors.New("answer is too long")
-	errNoID                = errors.New("answer without an id on a connection that served other requests")
+	errNoID                = fmt.Errorf("%w: it has no id of a request", answer.ErrNotOne)
+	errContradiction       = fmt.Errorf("%w: it says that a request has run and has not run", answer.ErrNotOne)
+	errUpgrade             = errors.New("target switched protocols")
 )
 
 // exchange is one request and its answer on a connection.
@@ -51,6 +58,8 @@
 	call          *Call
 	names         steer.HeaderNames
 	strayAnswers  metrics.Counter
+	brokenAnswers metrics.Counter
+	singleHeaders []string // Headers that one answer has once at most.
 	reserved      *reservation
 	headBytesLeft int64 // Bytes of heads that may still be read.
 }
@@ -75,6 +84,9 @@
 	}
 	result := x.awaitAnswer(ctx)
 	result.Sent = true
+	if errors.Is(result.Err, answer.ErrNotOne) {
+		x.brokenAnswers.Inc(1)
+	}
 	c.served = true
 	if c.reusable {
 		select {
@@ -170,7 +182,8 @@
 	return result
 }
 
-// readAnswer reads the answer to the call. It skips informational answers and answers to other requests.
+// readAnswer reads the answer to the call. It skips informational answers and answers to other requests. It concludes nothing
+// from bytes that may be anything else than one answer to this request.
 func (x *exchange) readAnswer(ctx context.Context) Result {
 	request := &http.Request{
 		Method: x.call.Method,
@@ -181,28 +194,45 @@
 		if err != nil {
 			return failed(fmt.Errorf("read answer: %w", err))
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return failed(errUpgrade)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		body, err := x.readBody(ctx, response)
 		if err != nil {
 			return failed(fmt.Errorf("read body of answer: %w", err))
 		}
-		id := response.Header.Get(x.names.RequestID)
-		switch {
-		case id == "" && x.conn.served:
+		if err := answer.CheckBody(body, x.bytesAfter(body), x.names.RequestID); err != nil {
+			return failed(err)
+		}
+		switch id := response.Header.Get(x.names.RequestID); {
+		case id == "" && (x.call.RequestID != "" || x.conn.served):
 			return failed(errNoID)
-		case id != "" && id != x.call.RequestID:
+		case id != x.call.RequestID:
 			x.strayAnswers.Inc(1)
 			if strayAnswers++; strayAnswers > maxStrayAnswers {
 				return failed(errTooManyStrayAnswers)
 			}
 		default:
-			return x.classify(response, body)
+			result := x.classify(response, body)
+			x.conn.reusable = x.conn.reusable && strayAnswers == 0
+			return result
 		}
 	}
 }
 
+// bytesAfter returns bytes that follow a body. It waits for them only if the body may be part of several answers.
+func (x *exchange) bytesAfter(body []byte) []byte {
+	c := x.conn
+	if c.reader.Buffered() == 0 && answer.IsDoubtful(body, x.names.RequestID) {
+		c.awaitMore(maxSpliceWait)
+	}
+	rest, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
+	return rest
+}
+
 // readHead reads a head, within the limit for all heads. Bytes of the body that are buffered along with it count too.
 func (x *exchange) readHead(request *http.Request) (*http.Response, error) {
 	c := x.conn
@@ -211,7 +241,10 @@
 	response, err := http.ReadResponse(c.reader, request)
 	x.headBytesLeft -= c.meter.BytesRead() - before
 	c.meter.RemoveLimit()
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, answer.CheckHead(response, x.singleHeaders...)
 }
 
 // readBody reads a whole body, within the memory that is reserved for it. Each buffer is allocated once in the reserved size,
@@ -284,15 +317,20 @@
 	c.reusable = !response.Close && response.ContentLength >= 0 || isChunked(response) && !response.Close
 	c.reusable = c.reusable && c.reader.Buffered() == 0 && c.keep > 0
 	x.reserved.recordLength(len(body))
+	misdirected := response.StatusCode == names.MisdirectedStatus
+	notRun := misdirected || header.Get(names.NotRun) != ""
 	switch {
-	case response.StatusCode == names.MisdirectedStatus:
+	case notRun && (result.Signed || response.StatusCode < http.StatusBadRequest):
+		c.reusable = false
+		return failed(errContradiction)
+	case notRun:
 		result.Verdict = steer.NotRun
-		if result.Gone = header.Get(names.TargetID) != x.call.Endpoint.ID; result.Gone {
+		if id := header.Get(names.TargetID); misdirected && id != "" && id != x.call.Endpoint.ID {
+			result.Gone = true
 			result.Limit = nil // It is the limit of the target that has the address now.
 		}
-	case header.Get(names.NotRun) != "":
-		result.Verdict = steer.NotRun
 	case response.StatusCode < http.StatusMultipleChoices && !result.Signed:
+		c.reusable = false
 		return failed(errUnsigned)
 	case !result.Signed && result.Limit != nil && !result.Limit.Limited:
 		result.Limit = nil // The target may not have produced the answer, so the missing header says nothing.
