Do not pass on a "not run" status for a booking that ran

What callers see: a target signs an answer with 503, 429 or 408 and does not say that the request has not run. The client of a booking gets the status as it is, takes it for the promise that nothing has run, and sends the booking again.

Cause: the verdict of the host is right, but the caller draws its own from the status.

Change: for requests that must not run twice such an answer is not delivered; the caller gets 502, which promises nothing. Queries get it as before.

Evidence: pass.TestRetriesOnlyWhatMayRunAgain, rows "booking that ran, with 503, 429 and 408" fail without the change; with it all pass.

--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -66,10 +66,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func fail(_ int, w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Signature", "s")
-	w.Header().Set("Id", r.Header.Get("Id"))
-	w.WriteHeader(http.StatusInternalServerError)
+var fail = failWith(http.StatusInternalServerError)
+
+// failWith returns a behaviour that runs the request and answers with the status.
+func failWith(status int) behaviour {
+	return func(_ int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signature", "s")
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(status)
+	}
 }
 
 func abortConn(int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
@@ -248,6 +253,12 @@
 		{name: "query that fails", path: "/query/1", behaviour: first(fail, succeed), status: 200, sent: 2},
 		{name: "booking that fails", path: "/booking/1", behaviour: first(fail, succeed), status: 500, sent: 1},
 		{name: "query that always fails", path: "/query/1", behaviour: fail, status: 500, sent: 2},
+		{name: "booking that ran, with 503", path: "/booking/1", behaviour: failWith(503), status: 502, sent: 1},
+		{name: "booking that ran, with 429", path: "/booking/1", behaviour: failWith(429), status: 502, sent: 1},
+		{name: "booking that ran, with 408", path: "/booking/1", behaviour: failWith(408), status: 502, sent: 1},
+		{name: "booking that ran, with 421", path: "/booking/1", behaviour: failWith(421), status: 502, sent: 1},
+		{name: "query that ran, with 429", path: "/query/1", behaviour: failWith(429), status: 429, sent: 1},
+		{name: "query that ran, with 503, then succeeds", path: "/query/1", behaviour: first(failWith(503), succeed), status: 200, sent: 2},
 		{name: "booking refused everywhere", path: "/booking/1", behaviour: refuse, status: 503, sent: 2},
 		{name: "refused, then without an answer", path: "/booking/1", behaviour: first(refuse, abortConn), status: 502, sent: 2},
 		{name: "query without an answer, then refused", path: "/query/1", behaviour: first(abortConn, refuse), status: 502, sent: 2},
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -33,7 +33,7 @@
 			lastResult.Discard()
 			return h.responseOf(&result), nil
 		}
-		if result.Signed && result.Verdict == steer.Ran {
+		if isDeliverable(j, &result) {
 			lastResult.Discard()
 			lastResult = &result
 		} else {
@@ -50,10 +50,23 @@
 // isFinal reports whether a target's response goes to the caller without further attempts: the target ran the request and
 // signed the response, which is no server error or belongs to a request that must not run twice.
 func isFinal(j *job, r *back.Result) bool {
-	if r.Verdict != steer.Ran || !r.Signed {
+	return isDeliverable(j, r) && (r.Status < http.StatusInternalServerError || !j.route.Kind.Idempotent())
+}
+
+// isDeliverable reports whether the caller may get a target's response: the target ran the request and signed the response,
+// whose status does not make the caller send a request again that must not run twice.
+func isDeliverable(j *job, r *back.Result) bool {
+	return r.Verdict == steer.Ran && r.Signed && (j.route.Kind.Idempotent() || !meansNotRun(r.Status))
+}
+
+// meansNotRun reports whether callers conclude from a status that their request has not run and never will.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
 		return false
 	}
-	return r.Status < http.StatusInternalServerError || !j.route.Kind.Idempotent()
 }
 
 // pickTarget picks the target of the next attempt.
