Check whose response it is before its verdict counts in host

What callers see: "host" reports a request as not run, or sends a booking to a second target, because of a response that belongs to another request: a late copy of a refusal, or two responses read as one.

The verdict, and whether the target drains, were read before the id was compared. Of a header that came twice the first one counted.

Change: transmit checks the head of each response of a target or host with package answer, and its id, before anything is concluded from it. A "not-run" without an id counts only on a connection of its own, since targets of "host" need not echo it. A short body is checked too; longer ones are streamed and are not.

--- a/internal/serve/relay/fault_test.go
+++ b/internal/serve/relay/fault_test.go
@@ -362,6 +362,42 @@
 	}
 }
 
+// Guards against a request that is reported as not run, or sent again, because of a response that is not that of the request.
+func TestResponsesInDoubtMayHaveRun(t *testing.T) {
+	for name, change := range map[string]func(head http.Header){
+		"other ID":             func(head http.Header) { head.Set("Steering-Request-Id", "other") },
+		"two IDs":              func(head http.Header) { head.Add("Steering-Request-Id", "other") },
+		"two verdicts":         func(head http.Header) { head.Add("Steering-Verdict", "ran") },
+		"no ID":                func(head http.Header) { head.Del("Steering-Request-Id") },
+		"status line in value": func(head http.Header) { head.Set("X-A", "bHTTP/1.1 200 OK") },
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+", "+method, func(t *testing.T) {
+				refused := 0
+				h := newFleet(t, serveTarget(t, "t1", "a1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Steering-Request-Id", r.Header.Get("Steering-Request-Id"))
+					if r.URL.Path == "/first" {
+						return
+					}
+					refused++
+					w.Header().Set("Steering-Verdict", "not-run")
+					change(w.Header())
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}))).addHost("h1", "a1", "a", nil)
+				c := newClient(t)
+				call(t, c, http.MethodGet, h.url+"/s/reservas/first", nil).check(t, steer.Ran, "")
+				a := call(t, c, method, h.url+"/s/reservas/x", nil)
+				if name == "no ID" && method == http.MethodPost {
+					a.check(t, steer.NotRun, steer.ReasonCapacity) // Over a connection of its own.
+					return
+				}
+				a.check(t, steer.MayHaveRun, steer.ReasonTargetFailed)
+				assert.Equal(t, refused, 1)
+			})
+		}
+	}
+}
+
 // A hedge must give a response while the first target hangs. It must use the retry budget and release its unit of capacity.
 func TestHedge(t *testing.T) {
 	fake, spec := newTarget(t, "t1", "a1")
--- a/internal/serve/relay/forward.go
+++ b/internal/serve/relay/forward.go
@@ -104,7 +104,7 @@
 	}
 	p.end(resp)
 	x.ticketChecked = x.ticketChecked || kind == forwardTicket
-	r := refuse(steer.ParseVerdict(text), steer.Reason(reason), errPeerRefused)
+	r := refuse(p.verdictOf(resp), steer.Reason(reason), errPeerRefused)
 	r.Status = resp.StatusCode
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		r.RetryAfter = time.Duration(seconds) * time.Second
--- a/internal/serve/relay/local.go
+++ b/internal/serve/relay/local.go
@@ -218,7 +218,12 @@
 // targetResponse converts the HTTP response of a target to a response or, if the target shed the request, a refusal. It
 // records in o whether the request was shed.
 func (h *Handler) targetResponse(x *exchange, resp *http.Response, p *attempt, o *steer.Outcome) (*response, error) {
-	if verdict := resp.Header.Get(headerVerdict); verdict != "" && steer.ParseVerdict(verdict) == steer.NotRun {
+	if steer.ParseVerdict(resp.Header.Get(headerVerdict)) == steer.NotRun {
+		verdict := p.verdictOf(resp)
+		if verdict != steer.NotRun {
+			p.end(resp)
+			return nil, refuse(verdict, steer.ReasonTargetFailed, errShedInDoubt)
+		}
 		o.Shed = true
 		// A short body is read to its end so that the connection can be reused.
 		_, _ = io.CopyN(io.Discard, resp.Body, maxShedBody)
--- a/internal/serve/relay/send.go
+++ b/internal/serve/relay/send.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/answer"
 )
 
 // deadlineRounding is how much earlier the peer may reach the deadline: the remaining time is sent in whole milliseconds,
@@ -24,6 +25,7 @@
 var (
 	errAttemptTimeout    = errors.New("attempt timed out before a response")
 	errShed              = errors.New("target shed the request")
+	errShedInDoubt       = errors.New("response that the request has not run may be that of another request")
 	errRequestIDMismatch = errors.New("response has the ID of another request")
 	errTruncated         = errors.New("response was truncated")
 	errNoLength          = errors.New("response has no length, so truncation could not be detected")
@@ -100,6 +102,10 @@
 	resp, err := h.pool.get(time.Now(), to.address, to.singleUse).RoundTrip(r)
 	if p.state.CompareAndSwap(attemptWaiting, attemptAnswered) && err == nil {
 		p.closeBody = closeBody
+		if err := h.checkAnswer(x, resp); err != nil {
+			p.end(resp)
+			return nil, p, refuse(steer.MayHaveRun, to.reason, err)
+		}
 		return resp, p, nil
 	}
 	if err == nil {
@@ -115,6 +121,31 @@
 	return nil, p, failure
 }
 
+// checkAnswer returns an error if the header of a response cannot be that of one response to the request. It comes before
+// anything is concluded from the response.
+func (h *Handler) checkAnswer(x *exchange, resp *http.Response) error {
+	if err := answer.CheckHead(resp, headerRequestID, headerVerdict, headerReason, headerDraining, headerRepeatOf, "Retry-After",
+		"Content-Type", "Date"); err != nil {
+		return err
+	}
+	if id := resp.Header.Get(headerRequestID); id != "" && id != x.id {
+		h.counts.answersCrossed.Inc(1)
+		return errRequestIDMismatch
+	}
+	return nil
+}
+
+// verdictOf returns the verdict that a response states. It does not believe that the request has not run if the status
+// contradicts this, or if the response may be the late copy of an earlier one: it has no ID, and its connection was reused.
+func (a *attempt) verdictOf(resp *http.Response) steer.Verdict {
+	verdict := steer.ParseVerdict(resp.Header.Get(headerVerdict))
+	inDoubt := resp.StatusCode < http.StatusBadRequest || resp.Header.Get(headerRequestID) == "" && a.reused.Load()
+	if verdict == steer.NotRun && inDoubt {
+		return steer.MayHaveRun
+	}
+	return verdict
+}
+
 // abandon cancels an attempt that has no response yet, if the retry budget allows another one.
 func (h *Handler) abandon(service string, p *attempt) {
 	if p.state.Load() != attemptWaiting || !h.conf.Chooser.Retry(service) {
@@ -168,10 +199,6 @@
 		p.end(resp)
 		return nil, refuse(steer.MayHaveRun, reason, cause)
 	}
-	if id := resp.Header.Get(headerRequestID); id != "" && id != x.id {
-		h.counts.answersCrossed.Inc(1)
-		return fail(errRequestIDMismatch)
-	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return fail(errUpgrade)
 	}
@@ -184,6 +211,9 @@
 		buffers.Put(rp.buffer)
 	})
 	err := rp.readPrefix(x.r.Method)
+	if err == nil {
+		err = answer.CheckBody(rp.prefix, nil, headerRequestID)
+	}
 	if err == nil {
 		return rp, nil
 	}
