Tell a broken answer from a stale connection

What callers saw: nothing directly. A target that breaks off its answers on reused connections counted as a healthy one that had closed an idle connection: it was never left alone, and queries went to it again, over a new connection.

Cause: the error of a connection that ended within an answer is the same as that of one that ended before it.

Change: a connection is stale only if not one byte of an answer has arrived.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -89,7 +89,7 @@
 	Gone            bool               // Another target now uses the address.
 	Closing         bool               // The target announced that it closes the connection.
 	Reused          bool               // The connection had been used for other requests.
-	StaleConnection bool               // The target closed the reused connection while it was idle or instead of answering.
+	StaleConnection bool               // The target closed the reused connection before the first byte of an answer.
 	Sent            bool               // At least one byte may have reached the target.
 	Broke           bool               // The target closed the connection before the first byte of an answer.
 	Err             error              // Why there is no answer; nil with one.
@@ -273,7 +273,7 @@
 	result.Reused = reused
 	if !stop() || !c.reusable {
 		c.close()
-		if reused && ctx.Err() == nil && closedByPeer(result.Err) {
+		if reused && !x.answerBegun && ctx.Err() == nil && closedByPeer(result.Err) {
 			result.StaleConnection = true
 			p.suspectStale(time.Now())
 		}
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -326,7 +326,8 @@
 	assert.Equal(t, third.Reused, true, "a connection that was used just before is reused")
 }
 
-// Guards against a silent target that is taken for one that dropped an idle connection, and is sent the request again.
+// Guards against a target that is silent or breaks off answers, but is taken for a healthy one that dropped an idle connection,
+// and is sent the request again.
 func TestSilentTargetIsNotAStaleConnection(t *testing.T) {
 	for _, c := range []struct {
 		answer string
@@ -335,6 +336,9 @@
 		{answer: "|RESET", want: true},
 		{answer: "|CLOSE", want: true},
 		{answer: "garbage without an end", want: false},
+		{answer: "HTTP/1.1 200 OK\r\nId: ID\r\n|CLOSE", want: false},
+		{answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 9\r\n\r\nabc|CLOSE", want: false},
+		{answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 9\r\n\r\nabc|RESET", want: false},
 	} {
 		s := newScriptedTarget(t, func(_, request int) string {
 			if request == 1 {
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -62,6 +62,7 @@
 	singleHeaders []string // Headers that one answer has once at most.
 	reserved      *reservation
 	headBytesLeft int64 // Bytes of heads that may still be read.
+	answerBegun   bool  // At least one byte has arrived.
 }
 
 // run writes the request and reads its answer.
@@ -163,6 +164,7 @@
 		result.Broke = ctx.Err() == nil && closedByPeer(err)
 		return result
 	}
+	x.answerBegun = true
 	if !x.call.Retryable {
 		return x.readAnswer(ctx)
 	}
