Open a connection where the id does not identify the answer

What callers see: a request without an id that goes over a reused connection runs, and gets 502. Two requests with the same id, one after the other on one connection: the second can get the late copy of the first one's answer.

Cause: an answer is told from late copies of earlier ones by the id of its request. Connections were reused although the id could not do that.

Change: a request without an id, or with one of the last eight ids of a connection, gets a new connection.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -295,7 +295,8 @@
 		if c == nil {
 			break
 		}
-		if call.AtMostOnce && now.Sub(c.idleSince) > maxIdleAtMostOnce && p.staleSuspected(now) {
+		tooOld := call.AtMostOnce && now.Sub(c.idleSince) > maxIdleAtMostOnce && p.staleSuspected(now)
+		if tooOld || !c.identifies(call.RequestID) {
 			p.keep(e.ID, c)
 			break
 		}
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,6 +28,23 @@
 	idleUntil time.Time     // Time from which it must not be used any more.
 	reusable  bool          // The last exchange is complete and the connection can be used for another.
 	served    bool          // The connection was used for an exchange before the current one.
+
+	recentIDs [recentIDCount]string // IDs of the last requests, of which late copies of answers may come.
+	idCount   int
+}
+
+// recentIDCount is the number of requests of a connection whose IDs are remembered.
+const recentIDCount = 8
+
+// recordID remembers the ID of a request that is sent.
+func (c *conn) recordID(id string) {
+	c.recentIDs[c.idCount%recentIDCount] = id
+	c.idCount++
+}
+
+// identifies reports whether the ID of a request would tell its answer from late copies of earlier ones.
+func (c *conn) identifies(id string) bool {
+	return c.idCount == 0 || id != "" && !slices.Contains(c.recentIDs[:], id)
 }
 
 // start initialises the connection when its socket is open.
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -69,6 +69,7 @@
 func (x *exchange) run(ctx context.Context) Result {
 	c, call := x.conn, x.call
 	c.reusable = false
+	c.recordID(call.RequestID)
 	written := make(chan error, 1)
 	head := x.head()
 	if len(call.Body) > largeBody {
--- a/internal/edge/back/splice_test.go
+++ b/internal/edge/back/splice_test.go
@@ -80,6 +80,29 @@
 	assert.Check(t, !third.Reused && (!third.Sent || string(third.Body) == "fresh"), "%s, then %+v", what, third)
 }
 
+// Guards against the late copy of an answer to an earlier request with the same id, and against requests without an id whose
+// answers nobody can recognise.
+func TestRequestThatItsIDDoesNotTellApartGetsNewConnection(t *testing.T) {
+	for _, ids := range [][]string{{"1", "1"}, {"1", "2", "1"}, {"", ""}, {"1", ""}} {
+		s := newScriptedTarget(t, func(connection, request int) string {
+			if request == len(ids) {
+				return ok("late copy") + ok("own")
+			}
+			return ok(fmt.Sprint(connection))
+		})
+		p := newPool(t)
+		for i, id := range ids {
+			r := p.Do(context.Background(), newCall(s, id))
+			assert.NilError(t, r.Err, "%q", ids)
+			last := i == len(ids)-1
+			assert.Equal(t, r.Reused, i > 0 && !last, "%q", ids)
+			if last {
+				assert.Equal(t, string(r.Body), "2", "%q", ids)
+			}
+		}
+	}
+}
+
 // Guards against conclusions from a head that cannot be that of one answer to the request.
 func TestDoubtfulHeadProvesNothing(t *testing.T) {
 	for _, c := range []struct{ name, answer string }{
