Bound the heads that the directory and the other servers read

What callers see: some hundred peers that send a head without end to the directory, or to the listeners of readiness, other hosts or metrics, take a host beyond its memory, and the requests of all clients end with it.

Cause: net/http keeps 1 MB of each head by default, and several copies of it while it grows. The directory allows some thousand connections.

Change: these servers read 8 KB of a head. Their requests have some hundred bytes.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -40,6 +40,10 @@
 	writeTimeout = 5 * time.Second
 	idleTimeout  = 30 * time.Second
 
+	// maxHeadBytes bounds the head of a request at these servers. The default of net/http, 1 MB for each connection, exceeds the
+	// memory of a host.
+	maxHeadBytes = 8 << 10
+
 	// drainServeFraction is the fraction of the grace period for which a stopping host still accepts requests on open and new
 	// connections, because callers keep answers of the directory for some seconds.
 	drainServeFraction = 0.5
@@ -319,6 +323,7 @@
 
 func (n *Node) startServer(listener net.Listener, server *http.Server) {
 	server.ReadTimeout, server.WriteTimeout, server.IdleTimeout = readTimeout, writeTimeout, idleTimeout
+	server.MaxHeaderBytes = maxHeadBytes
 	n.auxServers = append(n.auxServers, server)
 	n.wait.Add(1)
 	go func() {
