Bound what clients read of an answer without end

What callers see: a store or a peer in trouble that sends bytes without end makes a host keep them. The client of the store that "host" uses decoded bodies without a limit: 492 MB within its timeout of 3 s, from one call. Heads had the default limit of net/http, 10 MB for each connection, also those that open links between hosts and those of health checks.

Change: heads of 64 KB at most, and 4 KB before a peer has proved that it holds the secret of the fleet. meter.LimitBodies, until now part of package probe, bounds the bodies that goa decodes.

--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -1,11 +1,12 @@
-// Package meter counts and limits the bytes that are read from a peer. A Reader belongs to one connection. Its users choose
-// the limits and handle ErrTooLarge.
+// Package meter counts and limits the bytes that are read from a peer. A Reader belongs to one connection, and LimitBodies
+// limits the responses that an HTTP client reads. Their users choose the limits and handle the errors.
 package meter
 
 import (
 	"errors"
 	"io"
 	"math"
+	"net/http"
 )
 
 // ErrTooLarge means that a peer has sent more bytes than the limit.
@@ -62,3 +63,30 @@
 	}
 	return n, err
 }
+
+// Doer sends HTTP requests. *http.Client implements it.
+type Doer interface {
+	Do(r *http.Request) (*http.Response, error)
+}
+
+// LimitBodies returns a Doer whose responses fail to be read beyond maxBytes of their bodies.
+func LimitBodies(doer Doer, maxBytes int64) Doer {
+	return limitedDoer{
+		doer:     doer,
+		maxBytes: maxBytes,
+	}
+}
+
+type limitedDoer struct {
+	doer     Doer
+	maxBytes int64
+}
+
+// Do implements Doer.
+func (l limitedDoer) Do(r *http.Request) (*http.Response, error) {
+	response, err := l.doer.Do(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, l.maxBytes)
+	}
+	return response, err
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -164,7 +164,11 @@
 			Logger:  c.Logger,
 			Metrics: c.Metrics,
 		}),
-		client:            &http.Client{},
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxResponseHeaderBytes: maxHeadBytes,
+			},
+		},
 		ctx:               ctx,
 		cancel:            cancel,
 		hosts:             map[string]*host{},
--- a/internal/peer/gossip/link.go
+++ b/internal/peer/gossip/link.go
@@ -29,6 +29,9 @@
 	// maxMessageSize bounds a message in bytes. It fits a plan of some thousand routes.
 	maxMessageSize = 4 << 20
 
+	// maxHeadBytes bounds the head of the response that opens a link.
+	maxHeadBytes = 64 << 10
+
 	// maxPendingChanges bounds the messages with changes of entries that wait at a link.
 	maxPendingChanges = 16
 )
--- a/internal/peer/links/mesh.go
+++ b/internal/peer/links/mesh.go
@@ -167,6 +167,8 @@
 		Transport: &http.Transport{
 			DialContext:       c.Dial,
 			DisableKeepAlives: true,
+
+			MaxResponseHeaderBytes: maxHandshakeMessage,
 		},
 	}
 	for _, address := range c.Seeds {
--- a/internal/plat/kvhttp/client.go
+++ b/internal/plat/kvhttp/client.go
@@ -20,13 +20,15 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/api/gen/http/store/client"
 	"monsoonhub.example/steer/internal/api/gen/store"
+	"monsoonhub.example/steer/internal/edge/meter"
 )
 
 const (
 	defaultTimeout = 3 * time.Second
 	idleConns      = 4
 	idleTimeout    = time.Minute
-	sampleSize     = 1024 // Calls in the histogram; a metrics.Timer would leave a goroutine behind.
+	maxHeadBytes   = 64 << 10 // Of a response.
+	sampleSize     = 1024     // Calls in the histogram; a metrics.Timer would leave a goroutine behind.
 )
 
 // Config configures a Client.
@@ -66,10 +68,12 @@
 		}).DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	doer := &http.Client{
+	doer := meter.LimitBodies(&http.Client{
 		Transport: transport,
-	}
+	}, maxBody)
 	h := client.NewClient("http", c.Address.String(), doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return &Client{
 		logger:    log.With(c.Logger, "part", "kvhttp"),
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -18,6 +18,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/api/gen/http/target/client"
 	"monsoonhub.example/steer/internal/api/gen/target"
+	"monsoonhub.example/steer/internal/edge/meter"
 )
 
 // Defaults and bounds.
@@ -98,6 +99,8 @@
 			DialContext:         (&net.Dialer{}).DialContext,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     10 * c.Interval,
+
+			MaxResponseHeaderBytes: maxAnswerSize,
 		}
 		c.Transport, closeIdle = own, own.CloseIdleConnections
 	}
@@ -199,7 +202,7 @@
 			return http.ErrUseLastResponse
 		},
 	}
-	c := client.NewClient("http", t.Address.String(), limitedDoer{doer}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	c := client.NewClient("http", t.Address.String(), meter.LimitBodies(doer, maxAnswerSize), goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	s := &poller{
 		id:      t.ID,
 		address: t.Address,
@@ -278,14 +281,3 @@
 	report.Slots = max(load.Slots, 0)
 	return nil
 }
-
-// limitedDoer bounds the size of response bodies.
-type limitedDoer struct{ doer goahttp.Doer }
-
-func (l limitedDoer) Do(r *http.Request) (*http.Response, error) {
-	response, err := l.doer.Do(r)
-	if err == nil {
-		response.Body = http.MaxBytesReader(nil, response.Body, maxAnswerSize)
-	}
-	return response, err
-}
