Look for answers in bodies within bounds

Change: only the last 4 KB of a body are joined with what follows, heads are read up to 4 KB, and 64 of them at most.

--- a/internal/edge/answer/answer.go
+++ b/internal/edge/answer/answer.go
@@ -54,14 +54,18 @@
 	return nil
 }
 
+const (
+	// maxHeadBytes is the size of a head above which it is not read to its end.
+	maxHeadBytes = 4 << 10
+
+	// maxHeads is the number of status lines in a body above which no more are looked at.
+	maxHeads = 64
+)
+
 // CheckBody returns ErrNotOne if another answer begins within a body. Rest holds the bytes that followed the body. A text
 // about HTTP is told from an answer by its lack of the header with the given name, which every answer has, and by its end.
 func CheckBody(body, rest []byte, idName string) error {
-	data := body
-	if len(rest) > 0 {
-		data = bytes.Join([][]byte{body, rest}, nil)
-	}
-	found := findHead(data, len(body), idName)
+	found := findHead(body, rest, idName)
 	if found == headOfAnswer || found == headDoubtful && len(rest) > 0 {
 		return fmt.Errorf("%w: another one begins in its body", ErrNotOne)
 	}
@@ -75,7 +79,7 @@
 			return true
 		}
 	}
-	return findHead(body, len(body), idName) == headDoubtful
+	return findHead(body, nil, idName) == headDoubtful
 }
 
 // headKind says what looks like the head of an answer in a body.
@@ -87,32 +91,66 @@
 	headOfAnswer
 )
 
-// findHead looks for the head of an answer that begins in the first n bytes of data.
-func findHead(data []byte, n int, idName string) headKind {
+// findHead looks for the head of an answer that begins in a body and may continue in the bytes that follow it.
+func findHead(body, rest []byte, idName string) headKind {
+	tailStart := max(0, len(body)-maxHeadBytes)
+	tail := body[tailStart:]
+	if len(rest) > 0 {
+		tail = bytes.Join([][]byte{tail, rest}, nil)
+	}
+	kind := findHeadIn(body, tailStart, idName)
+	return max(kind, findHeadIn(tail, len(body)-tailStart, idName))
+}
+
+// findHeadIn looks for the head of an answer that begins in the first n bytes of data.
+func findHeadIn(data []byte, n int, idName string) headKind {
 	kind := headNone
-	for start := 0; start < n; start += len(versionPrefix) {
+	heads := 0
+	for start := 0; start < n && heads < maxHeads; start += len(versionPrefix) {
 		i := bytes.Index(data[start:], []byte(versionPrefix))
 		if i < 0 || start+i >= n {
 			break
 		}
 		start += i
-		kind = max(kind, classifyHead(data[start:], idName))
+		if found := classifyHead(data[start:min(len(data), start+maxHeadBytes)], idName); found != headNone {
+			heads++
+			kind = max(kind, found)
+		}
 	}
 	return kind
 }
 
-var (
-	lineEnd = []byte("\r\n")
+var lineEnd = []byte("\r\n")
 
-	// statusLine matches a status line, and statusLineBegin any beginning of one.
-	statusLine      = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9](?: |$)`)
-	statusLineBegin = regexp.MustCompile(`^HTTP/1\.(?:$|[01](?:$| (?:$|[1-5](?:$|[0-9](?:$|[0-9](?:$| ))))))`)
-)
+// statusLength is the length of a status line without its reason, as in "HTTP/1.1 200".
+const statusLength = 12
+
+// beginsStatusLine reports whether data, which begins with versionPrefix, may be a status line or the beginning of one.
+func beginsStatusLine(data []byte) bool {
+	for i := len(versionPrefix); i < min(len(data), statusLength); i++ {
+		first, last := byte('0'), byte('9')
+		switch i {
+		case len(versionPrefix):
+			last = '1'
+		case len(versionPrefix) + 1:
+			first, last = ' ', ' '
+		case len(versionPrefix) + 2:
+			first, last = '1', '5'
+		}
+		if data[i] < first || data[i] > last {
+			return false
+		}
+	}
+	return true
+}
 
 // classifyHead classifies data that begins with versionPrefix.
 func classifyHead(data []byte, idName string) headKind {
+	if !beginsStatusLine(data) {
+		return headNone
+	}
 	line, data, complete := bytes.Cut(data, lineEnd)
-	if complete && !statusLine.Match(line) || !statusLineBegin.Match(line) {
+	if len(line) > statusLength && line[statusLength] != ' ' || complete && len(line) < statusLength {
 		return headNone
 	}
 	for complete {
