--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -35,9 +35,9 @@
 	// if its request can be retried.
 	finishFraction = 0.5
 
-	// maxSpliceWait is how long the bytes after a body are awaited that may be part of several answers. Segments of one write arrive
-	// one after the other.
-	maxSpliceWait = 20 * time.Millisecond
+	// maxFollowWait is how long bytes are awaited that follow a body which may be part of several answers. Segments of one write
+	// arrive one right after the other, and one in 256 bodies of random bytes is waited for.
+	maxFollowWait = 5 * time.Millisecond
 )
 
 // ErrUnfinished means that an answer began but was not complete in time to try another target.
@@ -230,7 +230,7 @@
 func (x *exchange) bytesAfter(body []byte) []byte {
 	c := x.conn
 	if c.reader.Buffered() == 0 && answer.IsDoubtful(body, x.names.RequestID) {
-		c.awaitMore(maxSpliceWait)
+		c.awaitMore(maxFollowWait)
 	}
 	rest, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
 	return rest
