Test a broken answer and a late refusal on the path of a booking

Cause: the tests of package back show what is concluded from such bytes, not what a caller gets.

Change: two rows of pass.TestRetriesOnlyWhatMayRunAgain, a booking (502, sent once) and a query (sent again, 200).

--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -80,6 +80,17 @@
 
 func abortConn(int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// breakOff runs the request, breaks off its answer and goes on with a late copy of a refusal.
+func breakOff(_ int, w http.ResponseWriter, r *http.Request) {
+	socket, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = socket.Close() }()
+	_, _ = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=10", r.Header.Get("Id"))
+	_, _ = fmt.Fprint(socket, "HTTP/1.1 503 Busy\r\nId: earlier\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 func hang(_ int, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 func newTestEnv(t testing.TB, targets int, b behaviour) *testEnv {
@@ -261,6 +272,8 @@
 		{name: "booking that ran, with 421", path: "/booking/1", behaviour: failWith(421), status: 502, sent: 1},
 		{name: "query that ran, with 429", path: "/query/1", behaviour: failWith(429), status: 429, sent: 1},
 		{name: "query that ran, with 503, then succeeds", path: "/query/1", behaviour: first(failWith(503), succeed), status: 200, sent: 2},
+		{name: "booking, broken answer and late refusal", path: "/booking/1", behaviour: first(breakOff, succeed), status: 502, sent: 1},
+		{name: "query, broken answer and late refusal", path: "/query/1", behaviour: first(breakOff, succeed), status: 200, sent: 2},
 		{name: "booking refused everywhere", path: "/booking/1", behaviour: refuse, status: 503, sent: 2},
 		{name: "refused, then without an answer", path: "/booking/1", behaviour: first(refuse, abortConn), status: 502, sent: 2},
 		{name: "query without an answer, then refused", path: "/query/1", behaviour: first(abortConn, refuse), status: 502, sent: 2},
