Read load reports with more figures, and add modes of features

Targets that share machines report a fourth figure, the work factor. The parser accepted exactly three, so no host knew what others had sent to such a target. Figures beyond the fourth are ignored.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -449,25 +449,50 @@
 	c.counted.SetIdle()
 }
 
-// parseLoad parses a load header: running requests, waiting requests and slots. It returns nil if the value is malformed.
+const (
+	// loadFigures is the number of figures that each load report has. More may follow.
+	loadFigures = 3
+
+	// usualWork is the work factor, in percent, of a target whose work takes as long as usual. minWorkFactor and maxWorkFactor bound
+	// what is believed.
+	usualWork     = 100.0
+	minWorkFactor = 0.1
+	maxWorkFactor = 100.0
+)
+
+// parseLoad parses a load header: running requests, waiting requests, slots and optionally the work factor in percent. Figures
+// that follow are ignored, since later versions of targets may report more. It returns nil if one of the first three is malformed.
 func parseLoad(value string) *steer.TargetLoad {
 	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
+	if len(parts) < loadFigures {
 		return nil
 	}
-	var numbers [3]int
-	for i, part := range parts {
+	var numbers [loadFigures]int
+	for i, part := range parts[:loadFigures] {
 		n, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || n < 0 {
 			return nil
 		}
 		numbers[i] = n
 	}
-	return &steer.TargetLoad{
+	load := &steer.TargetLoad{
 		Running: numbers[0],
 		Waiting: numbers[1],
 		Slots:   numbers[2],
 	}
+	if len(parts) > loadFigures {
+		load.WorkFactor = parseWorkFactor(parts[loadFigures])
+	}
+	return load
+}
+
+// parseWorkFactor parses a work factor in percent. It returns 0 if the value is malformed.
+func parseWorkFactor(value string) float64 {
+	percent, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(percent > 0) {
+		return 0
+	}
+	return min(max(percent/usualWork, minWorkFactor), maxWorkFactor)
 }
 
 // parseLimit returns the limit in the headers of an answer. It returns nil if the value is malformed.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -74,6 +74,7 @@
 	Settings    setup.Settings
 	Catalog     steer.Catalog
 	Headers     steer.HeaderNames
+	Deployment  steer.Deployment
 	PlatformAPI PlatformAPI
 	Logger      log.Logger       // Nil means no logging.
 	Metrics     metrics.Registry // Nil means a private registry.
@@ -185,6 +186,8 @@
 		Ejection:   n.logEjection,
 
 		LimitChange: n.logLimitChange,
+		Features:    s.Features(),
+		Deployment:  c.Deployment,
 	})
 	n.quotas = share.New(share.Config{
 		Host:     s.HostID,
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -21,6 +21,9 @@
 	Ejection   func(Ejection)    // Called for each ejection of a target; must not block. Nil means none.
 
 	LimitChange func(LimitChange) // Called when the limit of a target changes; must not block. Nil means none.
+
+	Features   steer.Features
+	Deployment steer.Deployment
 }
 
 // Ejection says that a target gets no requests for some time after consecutive failures.
--- a/internal/edge/setup/setup.go
+++ b/internal/edge/setup/setup.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/ops/config"
 )
 
@@ -32,6 +33,23 @@
 	QuotaExcessRatio    float64           `yaml:"quota-over"`       // Allowed excess relative to a quota.
 	QuotaSlack          float64           `yaml:"quota-slack"`      // Allowed excess in requests, in addition to the ratio.
 	LogLevel            string            `yaml:"log-level"`
+	Contracts           []string          `yaml:"contracts"` // Rules of the platform that are in force, by the platform's names.
+	TargetSpeed         steer.Mode        `yaml:"target-speed"`
+	Admission           steer.Mode        `yaml:"admission"`
+	ObjectCopies        steer.Mode        `yaml:"object-copies"`
+	DemandShares        steer.Mode        `yaml:"demand-shares"`
+	DirectoryHosts      steer.Mode        `yaml:"directory-hosts"`
+}
+
+// Features returns the modes of the optional features.
+func (s *Settings) Features() steer.Features {
+	return steer.Features{
+		TargetSpeed:    s.TargetSpeed,
+		Admission:      s.Admission,
+		ObjectCopies:   s.ObjectCopies,
+		DemandShares:   s.DemandShares,
+		DirectoryHosts: s.DirectoryHosts,
+	}
 }
 
 // defaultFileDescriptors is several times what a host uses: standard streams, the settings file and those of the Go runtime.
@@ -65,6 +83,11 @@
 	settings := Settings{
 		FileDescriptors: defaultFileDescriptors,
 		LogLevel:        "info",
+		TargetSpeed:     steer.ModeOff,
+		Admission:       steer.ModeOff,
+		ObjectCopies:    steer.ModeOff,
+		DemandShares:    steer.ModeOff,
+		DirectoryHosts:  steer.ModeOff,
 	}
 	checker, err := config.Decode(name, text, &settings)
 	if err != nil {
@@ -127,6 +150,20 @@
 			addError(f.field, fmt.Sprintf("is %v, not between %v and %v", f.value, f.low, f.high))
 		}
 	}
+	for _, f := range []struct {
+		field string
+		mode  steer.Mode
+	}{
+		{field: "target-speed", mode: s.TargetSpeed},
+		{field: "admission", mode: s.Admission},
+		{field: "object-copies", mode: s.ObjectCopies},
+		{field: "demand-shares", mode: s.DemandShares},
+		{field: "directory-hosts", mode: s.DirectoryHosts},
+	} {
+		if !f.mode.Valid() {
+			addError(f.field, "is none of off, on, auto")
+		}
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
--- a/internal/edge/setup/setup_test.go
+++ b/internal/edge/setup/setup_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/setup"
 )
 
@@ -40,6 +41,19 @@
 	assert.Equal(t, s.GracePeriod(), 6*time.Second)
 	assert.Equal(t, s.Regions["pacifico-a"], "pacifico")
 	assert.Equal(t, s.LogLevel, "info")
+	assert.Equal(t, s.Features().Admission, steer.ModeOff)
+}
+
+// Guards against a misspelt mode of a feature that is silently taken for off.
+func TestModesOfFeatures(t *testing.T) {
+	for _, field := range []string{"target-speed", "admission", "object-copies", "demand-shares", "directory-hosts"} {
+		for _, mode := range []string{"off", "on", "auto"} {
+			_, err := setup.Parse("settings.yaml", []byte(validSettings+field+": "+mode+"\n"))
+			assert.NilError(t, err)
+		}
+		_, err := setup.Parse("settings.yaml", []byte(validSettings+field+": yes please\n"))
+		assert.ErrorContains(t, err, field)
+	}
 }
 
 // Guards against invalid settings that are accepted, or rejected without naming the field.
--- a/internal/ops/cmds/serve.go
+++ b/internal/ops/cmds/serve.go
@@ -78,6 +78,8 @@
 		Settings: settings,
 		Catalog:  client,
 		Headers:  platform.Headers(),
+
+		Deployment: platform.Deployment(settings.Contracts),
 		PlatformAPI: node.PlatformAPI{
 			Directory: func(lookup func(name, region, dataCentre string) ([]netip.AddrPort, time.Duration)) http.Handler {
 				return platform.Directory(lookup, logger)
--- a/platform.go
+++ b/platform.go
@@ -97,6 +97,10 @@
 	Running int // Requests in progress.
 	Waiting int // Queued requests.
 	Slots   int // Requests that it can process concurrently.
+
+	// WorkFactor is the time that work takes at the target at this moment, relative to the usual time. It changes several times a
+	// second, as targets share their machines with others. 0 means that the target does not report it.
+	WorkFactor float64
 }
 
 // TargetLimit says how many requests a target takes.
@@ -212,7 +216,7 @@
 	ExpectedTarget    string // ID of the target that the request is intended for.
 	Signature         string // Set by targets on the answers that they produce.
 	NotRun            string // Set by a target that refused the request without running it.
-	Load              string // Running requests, waiting requests and slots of a target, separated by commas.
+	Load              string // Running requests, waiting requests, slots and optionally the work factor of a target in percent, separated by commas.
 	Limit             string // Requests per second that a target takes from all hosts together; absent without a limit.
 	TargetID          string // ID of the target that answered.
 	RetryAfter        string // Seconds, possibly fractional, after which a refused caller may retry.
