Give each object two targets in its region

Downloads crossed data centres for every second caller.

An object now has the target that it prefers in the region, and the one that it prefers in the other data centres. The alternate is used if its queue is shorter and it has the object, or if the request would be late. Large answers prefer the own data centre. Only with object-copies on, or where auto finds contested capacity or work factors.

--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -61,6 +61,9 @@
 		metrics.GetOrRegisterCounter("pass-repeated", l.metrics).Inc(1)
 	}
 	for _, a := range j.attempts {
+		if !a.firstChoice {
+			metrics.GetOrRegisterCounter("pass-alternate", l.metrics).Inc(1)
+		}
 		if a.limit.Limited {
 			metrics.GetOrRegisterCounter("pass-limited", l.metrics).Inc(1)
 		}
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -85,6 +85,7 @@
 		Priority:     j.priority,
 		Tried:        j.triedTargets,
 		TimeLeft:     timeLeft,
+		LargeAnswer:  j.route.Kind == steer.KindLarge,
 	}
 	if j.customer != nil {
 		criteria.AlsoRegions = j.customer.Regions
--- a/internal/edge/place/fleet_test.go
+++ b/internal/edge/place/fleet_test.go
@@ -78,48 +78,77 @@
 	}
 }
 
-// simulateFleet simulates 24 hosts that start with targets whose caches are empty. It returns the fraction of requests that
-// were answered in time, and the fraction that reached their deadline at a target, which wastes the target's work.
-func simulateFleet(t *testing.T, rate float64, exchangeNotes bool) (inTime, wasted float64) {
+// fleetLoad describes hosts that send requests to targets whose caches are empty at first.
+type fleetLoad struct {
+	hosts         int
+	targets       []*belief.RegisteredTarget
+	objects       int
+	rate          float64 // Requests per second of all hosts together.
+	exchangeNotes bool
+	objectCopies  steer.Mode
+	warmup        time.Duration // Requests that are sent before are not counted.
+}
+
+// fleetResult holds fractions of all requests.
+type fleetResult struct {
+	inTime  float64
+	refused float64
+	wasted  float64 // Reached their deadline at a target, which wastes the target's work.
+}
+
+// run simulates 15 seconds of the load.
+func (l fleetLoad) run(t *testing.T) fleetResult {
 	t.Helper()
-	const hosts, targets = 24, 40
 	random := rand.New(rand.NewPCG(3, 4))
-	var list []*belief.RegisteredTarget
 	simulated := map[string]*simulatedTarget{}
-	for i := range targets {
-		r := newTarget(i, "golfo-a")
-		list = append(list, r)
+	for _, r := range l.targets {
 		simulated[r.ID] = &simulatedTarget{
 			cached: map[string]bool{},
 		}
 	}
-	placers := make([]*place.Placer, hosts)
+	placers := make([]*place.Placer, l.hosts)
 	for i := range placers {
-		placers[i] = newPlacer(t, hosts, list...)
+		placers[i] = place.New(place.Config{
+			DataCentre: "golfo-a",
+			Region:     "golfo",
+			Regions:    regions,
+			Features: steer.Features{
+				ObjectCopies: l.objectCopies,
+			},
+		})
+		placers[i].Update(start, newView(t, l.targets...), place.Fleet{Hosts: l.hosts})
 	}
-	all, answeredInTime, wastedRequests := 0, 0, 0
+	all, answeredInTime, refused, wastedRequests := 0, 0, 0, 0
 	for now := start; now.Before(start.Add(15 * time.Second)); now = now.Add(tick) {
 		for _, c := range simulated {
 			timedOut, done := c.step(now)
 			for _, w := range timedOut {
-				wastedRequests++
+				if w.sent.Sub(start) >= l.warmup {
+					wastedRequests++
+				}
 				placers[w.host].Done(now, w.choice, place.Outcome{Failed: true, TimedOut: true, Latency: now.Sub(w.sent)})
 			}
 			for _, w := range done {
 				took := now.Sub(w.sent) + 2*networkDelay
-				if took <= latencyObjective {
+				if took <= latencyObjective && w.sent.Sub(start) >= l.warmup {
 					answeredInTime++
 				}
 				placers[w.host].Done(now, w.choice, place.Outcome{Latency: took, Load: c.load()})
 			}
 		}
-		for n := rate*tick.Seconds() + random.NormFloat64(); n >= 1; n-- {
-			all++
-			host := random.IntN(hosts)
-			a := newRequest(fmt.Sprint(random.IntN(fleetObjects)))
+		for n := l.rate*tick.Seconds() + random.NormFloat64(); n >= 1; n-- {
+			counted := now.Sub(start) >= l.warmup
+			if counted {
+				all++
+			}
+			host := random.IntN(l.hosts)
+			a := newRequest(fmt.Sprint(random.IntN(l.objects)))
 			a.Objective, a.TimeLeft, a.Priority = latencyObjective, requestTimeout, 2
 			c, refusal := placers[host].Pick(now, a)
 			if refusal != nil {
+				if counted {
+					refused++
+				}
 				continue
 			}
 			simulated[c.Target.ID].requests = append(simulated[c.Target.ID].requests, &targetRequest{
@@ -129,7 +158,7 @@
 				sent:   now,
 			})
 		}
-		if exchangeNotes && now.Sub(start)%noteInterval == 0 {
+		if l.exchangeNotes && now.Sub(start)%noteInterval == 0 {
 			for i, p := range placers {
 				notes := p.Notes(now)
 				for j, q := range placers {
@@ -140,7 +169,28 @@
 			}
 		}
 	}
-	return float64(answeredInTime) / float64(all), float64(wastedRequests) / float64(all)
+	return fleetResult{
+		inTime:  float64(answeredInTime) / float64(all),
+		refused: float64(refused) / float64(all),
+		wasted:  float64(wastedRequests) / float64(all),
+	}
+}
+
+// simulateFleet simulates 24 hosts that start with targets whose caches are empty. It returns the fraction of requests that
+// were answered in time, and the fraction that reached their deadline at a target, which wastes the target's work.
+func simulateFleet(t *testing.T, rate float64, exchangeNotes bool) (inTime, wasted float64) {
+	t.Helper()
+	l := fleetLoad{
+		hosts:         24,
+		objects:       fleetObjects,
+		rate:          rate,
+		exchangeNotes: exchangeNotes,
+	}
+	for i := range 40 {
+		l.targets = append(l.targets, newTarget(i, "golfo-a"))
+	}
+	r := l.run(t)
+	return r.inTime, r.wasted
 }
 
 // Guards against hosts that each observe a small fraction of a target's load and together fill its queue until requests reach
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -47,6 +47,7 @@
 	Priority     int           // 0 is the most urgent.
 	Tried        []string      // IDs of the targets that the request was already sent to.
 	TimeLeft     time.Duration // Time until the deadline of the request.
+	LargeAnswer  bool          // The answer is large, so it should not cross data centres.
 
 	avoidsLimits bool // The request leaves targets with limits to more urgent ones.
 }
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -118,6 +118,11 @@
 	fleetSize int         // Number of hosts that share the targets, with those that are not registered.
 	yielding  yielding
 
+	features          steer.Features
+	contested         bool   // The deployment announces contested capacity.
+	reportsWorkFactor bool   // A target of the service has reported a work factor.
+	ownDataCentre     string // Data centre of this host.
+
 	maxInFlight int // Limit on this host's requests in progress at a target, each of which takes a connection; 0 for none.
 
 	spillFraction float64 // Fraction of the requests that may leave their region because it is full.
@@ -134,6 +139,9 @@
 	return &service{
 		onEjection:    c.Ejection,
 		onLimitChange: c.LimitChange,
+		features:      c.Features,
+		contested:     c.Deployment.ContestedCapacity,
+		ownDataCentre: c.DataCentre,
 
 		targets: map[string]*targetState{},
 		classes: map[string]*class{},
@@ -280,7 +288,10 @@
 		return nil, false, s.noTargetReason(now, &request)
 	}
 	t := home
-	if home.loadPerSlot(now) >= s.loadLimit(&request, home) || s.full(home) {
+	if s.usesCopies() {
+		home, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
+	}
+	if t.loadPerSlot(now) >= s.loadLimit(&request, t) || s.full(t) {
 		if t = s.spareLimited(now, request, hash, region); t == nil {
 			t = s.overflow(now, request, hash, region)
 		}
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -62,6 +62,7 @@
 	limit               *requestLimit // Nil if the target names no limit.
 	liftedAt            time.Time     // When the last limit was lifted; zero if none was.
 	liftNews            bool          // This host saw the limit being lifted and has not told others yet.
+	objects             recentObjects // Objects that this host sent to the target.
 }
 
 // reportAge returns the age of the last report, or -1 if there was none.
@@ -172,6 +173,9 @@
 	t.totalRequests = float64(load.Running + load.Waiting)
 	t.otherRequests = math.Max(0, t.totalRequests-float64(t.inFlight))
 	t.reportedAt = at
+	if load.WorkFactor > 0 {
+		t.service.reportsWorkFactor = true
+	}
 }
 
 // busyLoad is the load per slot from which other hosts are notified of the load of a target. Below it they don't need it.
