Name hosts with wide links in the directory

Cause: the directory named all hosts of a data centre alike. Of the 35 hosts of a deployment 23 have 1/20 of the link of the others, and callers spread their requests evenly, so responses of 90 KB queued on narrow links.

Change: hosts register link and processor share (settings link-mbps, cpu-share and cores; omitted from the entry if 0). Package entry names, within each data centre, the hosts whose link is not narrower than the widest one by a factor of 4 or more, and at least two. Unknown capacity counts as wide. If the wide hosts of a data centre are gone, all of its narrow ones are named. Answers depend only on the registrations, so all hosts give the same one. With directory-hosts off, in plans and deployments that auto does not cover, and with even or unknown links the answers are as before.

--- a/internal/edge/belief/view.go
+++ b/internal/edge/belief/view.go
@@ -22,6 +22,14 @@
 	ReachableSince time.Time                      // Start of the latest period in which the platform was reachable.
 }
 
+// Plan returns the plan in force, or nil before the first one.
+func (v *View) Plan() *steer.Plan {
+	if v.Index == nil {
+		return nil
+	}
+	return v.Index.Plan
+}
+
 // RegisteredTarget is a registered target, with its region and the end of its warm-up.
 type RegisteredTarget struct {
 	steer.Endpoint
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -20,6 +20,7 @@
 	"monsoonhub.example/steer/internal/edge/back"
 	"monsoonhub.example/steer/internal/edge/belief"
 	"monsoonhub.example/steer/internal/edge/conns"
+	"monsoonhub.example/steer/internal/edge/entry"
 	"monsoonhub.example/steer/internal/edge/front"
 	"monsoonhub.example/steer/internal/edge/join"
 	"monsoonhub.example/steer/internal/edge/pass"
@@ -84,6 +85,7 @@
 type Node struct {
 	settings setup.Settings                 // Settings at the start.
 	current  atomic.Pointer[setup.Settings] // Settings last loaded. Only the fields that Reload applies differ from settings.
+	ownEntry steer.HostEntry                // Registration of this host.
 	logger   log.Logger
 	guard    *guard.Guard
 
@@ -91,6 +93,7 @@
 	member     *join.Member
 	placer     *place.Placer
 	quotas     *share.Table
+	entryHosts *entry.Selector
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
 	conns      *conns.Budget
 	targets    *back.Pool
@@ -177,7 +180,16 @@
 // start creates the parts, connects them and starts the servers.
 func (n *Node) start(c Config, p listenerSet) {
 	s := &n.settings
-	incarnation := uint64(time.Now().UnixNano())
+	n.ownEntry = steer.HostEntry{
+		ID:          s.HostID,
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Address:     s.Listen,
+		PeerAddress: s.PeerListen,
+		LinkMbps:    s.LinkMbps,
+		CPUCores:    s.CPUCores(),
+	}
 	n.placer = place.New(place.Config{
 		Host:       s.HostID,
 		DataCentre: s.DataCentre,
@@ -194,6 +206,13 @@
 		Bounds:   quotaBounds(s),
 		MinHosts: len(s.Regions), // Every data centre has a host.
 	})
+	n.entryHosts = entry.New(entry.Config{
+		DataCentre: s.DataCentre,
+		Mode:       s.DirectoryHosts,
+		Deployment: c.Deployment,
+		Logger:     c.Logger,
+		Metrics:    c.Metrics,
+	})
 	n.conns = conns.New(conns.Config{
 		Descriptors:     s.Descriptors,
 		FileDescriptors: s.FileDescriptors,
@@ -243,14 +262,7 @@
 	}))
 	n.member = join.New(join.Config{
 		Catalog: c.Catalog,
-		Host: steer.HostEntry{
-			ID:          s.HostID,
-			DataCentre:  s.DataCentre,
-			Region:      s.Region,
-			Incarnation: incarnation,
-			Address:     s.Listen,
-			PeerAddress: s.PeerListen,
-		},
+		Host:    n.ownEntry,
 		Logger:  c.Logger,
 		Metrics: c.Metrics,
 	})
@@ -378,6 +390,7 @@
 		fleet.MaxHosts = max(fleet.Hosts, startupHostCount)
 	}
 	n.placer.Update(now, view, fleet)
+	n.entryHosts.Update(now, n.entryCandidates(view), view.Plan())
 	n.poison.SetRegistered(now, view.Rejected)
 	if view.Listed && view.Index != nil {
 		n.syncOnce.Do(func() { close(n.synced) })
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -176,6 +177,14 @@
 }
 
 func newHost(t *testing.T, id, dataCentre, region string, c steer.Catalog) (*node.Node, *platformFuncs, setup.Settings) {
+	t.Helper()
+	return newHostWith(t, id, dataCentre, region, c, func(*setup.Settings) {})
+}
+
+// newHostWith starts a host with settings that the given function changes.
+func newHostWith(
+	t *testing.T, id, dataCentre, region string, c steer.Catalog, change func(*setup.Settings),
+) (*node.Node, *platformFuncs, setup.Settings) {
 	t.Helper()
 	s := setup.Settings{
 		HostID:              id,
@@ -194,6 +203,7 @@
 		RetryRatio:          0.2,
 		QuotaWindowSeconds:  5,
 	}
+	change(&s)
 	var funcs platformFuncs
 	n, err := node.New(node.Config{
 		Settings: s,
@@ -339,6 +349,57 @@
 	})
 }
 
+// Guards against a directory that sends callers to hosts with narrow links, one that depends on the host that is asked, and one that goes
+// on naming a wide host that has left.
+func TestDirectoryNamesHostsByCapacity(t *testing.T) {
+	platform := newCatalog(t, 0)
+	plan := *platform.fact("plan").Plan
+	plan.Version++
+	plan.Routes = append(slices.Clone(plan.Routes), steer.PlanRoute{
+		Name:             "download",
+		Host:             "h.example",
+		Prefix:           "/d/",
+		Kind:             steer.KindLarge,
+		MaxAttempts:      1,
+		WeightedServices: plan.Routes[0].WeightedServices,
+	})
+	platform.put(steer.Fact{
+		Key:  "plan",
+		Plan: &plan,
+	})
+	var nodes []*node.Node
+	var directories []*platformFuncs
+	var addresses []netip.AddrPort
+	for i, link := range []float64{10, 200, 200, 10} {
+		n, funcs, settings := newHostWith(t, fmt.Sprint("host-", i), "golfo-a", "golfo", platform, func(s *setup.Settings) {
+			s.DirectoryHosts, s.LinkMbps, s.CPUShare, s.Cores = steer.ModeAuto, link, 0.1, 8
+		})
+		nodes, directories, addresses = append(nodes, n), append(directories, funcs), append(addresses, settings.Listen)
+	}
+	namesOnly := func(asked []*platformFuncs, want ...netip.AddrPort) func() bool {
+		return func() bool {
+			for _, funcs := range asked {
+				list, _ := funcs.lookup("h.example", "golfo", "golfo-a")
+				slices.SortFunc(list, netip.AddrPort.Compare)
+				if !slices.Equal(list, want) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	waitUntil(t, "all directories name the wide hosts", namesOnly(directories, addresses[1], addresses[2]))
+	assert.Equal(t, platform.fact("hosts/host-1").Host.CPUCores, 0.8)
+	assert.NilError(t, nodes[1].Shutdown(context.Background()))
+	waitUntil(t, "the directories name the wide host that is left, and another one",
+		namesOnly([]*platformFuncs{directories[0], directories[2], directories[3]}, addresses[0], addresses[2]))
+	assert.NilError(t, nodes[2].Shutdown(context.Background()))
+	waitUntil(t, "the directories name the narrow hosts",
+		namesOnly([]*platformFuncs{directories[0], directories[3]}, addresses[0], addresses[3]))
+	assert.NilError(t, nodes[0].Shutdown(context.Background()))
+	assert.NilError(t, nodes[3].Shutdown(context.Background()))
+}
+
 // Guards against a stopping host that cuts requests in flight, or does not ask callers on open connections to leave.
 func TestShutdownCutsNoRequest(t *testing.T) {
 	platform := newCatalog(t, 100*time.Millisecond)
--- a/internal/edge/setup/setup.go
+++ b/internal/edge/setup/setup.go
@@ -23,6 +23,9 @@
 	Store               netip.AddrPort    `yaml:"store"`
 	HistorySeconds      float64           `yaml:"store-history-s"` // Maximum time for which the store keeps changes.
 	MemoryMB            int               `yaml:"memory-mb"`
+	LinkMbps            float64           `yaml:"link-mbps"`        // Bandwidth of the link in Mbit/s; 0 if it is unknown.
+	CPUShare            float64           `yaml:"cpu-share"`        // Share of the machine's cores that the process may use; 0 if it is unknown.
+	Cores               float64           `yaml:"cores"`            // Cores of the machine; 0 if the number is unknown.
 	Descriptors         int               `yaml:"max-descriptors"`  // 0 selects the resource limit of the process.
 	FileDescriptors     int               `yaml:"file-descriptors"` // Descriptors of the process that are no sockets.
 	GraceSeconds        float64           `yaml:"grace-s"`          // From SIGTERM to SIGKILL.
@@ -52,6 +55,9 @@
 	}
 }
 
+// CPUCores returns the number of cores that the process may use, or 0 if it is unknown.
+func (s *Settings) CPUCores() float64 { return s.CPUShare * s.Cores }
+
 // defaultFileDescriptors is several times what a host uses: standard streams, the settings file and those of the Go runtime.
 const defaultFileDescriptors = 32
 
@@ -135,6 +141,9 @@
 		low, high float64
 	}{
 		{field: "memory-mb", value: float64(s.MemoryMB), low: 32, high: 1 << 20},
+		{field: "link-mbps", value: s.LinkMbps, low: 0, high: 1e7},
+		{field: "cpu-share", value: s.CPUShare, low: 0, high: 1024},
+		{field: "cores", value: s.Cores, low: 0, high: 1 << 16},
 		{field: "max-descriptors", value: float64(s.Descriptors), low: 0, high: 1 << 24},
 		{field: "file-descriptors", value: float64(s.FileDescriptors), low: 0, high: 1 << 20},
 		{field: "grace-s", value: s.GraceSeconds, low: 1, high: 600},
--- a/internal/edge/setup/setup_test.go
+++ b/internal/edge/setup/setup_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Guards against a capacity that is computed from one of its factors, and against a host that does not start because its platform does not
+// tell them.
+func TestCapacity(t *testing.T) {
+	s, err := setup.Parse("settings.yaml", []byte(validSettings+"link-mbps: 200\ncpu-share: 0.1\ncores: 8\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.LinkMbps, 200.0)
+	assert.Equal(t, s.CPUCores(), 0.8)
+	for _, text := range []string{"", "link-mbps: \ncpu-share: \ncores: \n", "link-mbps: 0\ncores: 8\n", "cpu-share: 0.5\n"} {
+		s, err := setup.Parse("settings.yaml", []byte(validSettings+text))
+		assert.NilError(t, err)
+		assert.Equal(t, s.LinkMbps, 0.0)
+		assert.Equal(t, s.CPUCores(), 0.0)
+	}
+	for _, field := range []string{"link-mbps", "cpu-share", "cores"} {
+		for _, value := range []string{"-1", "1e9", ".nan", "wide"} {
+			_, err := setup.Parse("settings.yaml", []byte(validSettings+field+": "+value+"\n"))
+			assert.ErrorContains(t, err, field)
+		}
+	}
+}
+
 // Guards against invalid settings that are accepted, or rejected without naming the field.
 func TestInvalidSettingsNameTheField(t *testing.T) {
 	for _, line := range strings.Split(strings.TrimSpace(validSettings), "\n") {
--- a/platform.go
+++ b/platform.go
@@ -142,6 +142,8 @@
 	Incarnation uint64         `json:"incarnation"` // Unix time of the start in nanoseconds.
 	Address     netip.AddrPort `json:"address"`     // Listener for callers.
 	PeerAddress netip.AddrPort `json:"peer-address"`
+	LinkMbps    float64        `json:"link-mbps,omitempty"` // Bandwidth of its link in Mbit/s; 0 if it is unknown.
+	CPUCores    float64        `json:"cpu-cores,omitempty"` // Processor cores that it may use; 0 if that is unknown.
 }
 
 // Fact is one decoded entry of the platform's store. At most one of the pointers is set, and none if the entry was removed,
