Divide the requests of a region by the mean demand of all regions

Shares assumed equal demand in every region, so a region whose callers ask more kept all of its requests while targets elsewhere were free. Hosts now keep the mean demand of regions from the rates that they report for quotas. The code that divides requests moves from place to package region.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,7 @@
 	"monsoonhub.example/steer/internal/edge/pass"
 	"monsoonhub.example/steer/internal/edge/place"
 	"monsoonhub.example/steer/internal/edge/poison"
+	"monsoonhub.example/steer/internal/edge/region"
 	"monsoonhub.example/steer/internal/edge/setup"
 	"monsoonhub.example/steer/internal/ops/guard"
 	"monsoonhub.example/steer/internal/ops/telem"
@@ -93,6 +96,7 @@
 	member     *join.Member
 	placer     *place.Placer
 	quotas     *share.Table
+	demand     *region.Demand
 	entryHosts *entry.Selector
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
 	conns      *conns.Budget
@@ -213,6 +217,7 @@
 		Logger:     c.Logger,
 		Metrics:    c.Metrics,
 	})
+	n.demand = region.NewDemand(slices.Compact(slices.Sorted(maps.Values(s.Regions))))
 	n.conns = conns.New(conns.Config{
 		Descriptors:     s.Descriptors,
 		FileDescriptors: s.FileDescriptors,
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -20,6 +20,9 @@
 	if status.PeerID != "" {
 		n.quotas.Receive(now, status.ReportedAt, status.PeerID, status.Usage)
 	}
+	if n.demand.Update(now, n.demandByRegion) {
+		n.placer.SetDemand(n.demand.Fractions())
+	}
 	if !status.PlatformReachable {
 		return
 	}
@@ -34,6 +37,25 @@
 	n.follower.ApplyHint(now, hint)
 }
 
+// demandByRegion returns the present requests per second of the regions that this host hears.
+func (n *Node) demandByRegion() map[string]float64 {
+	rates := map[string]float64{}
+	for id, rate := range n.quotas.DemandByPeer() {
+		rates[n.regionOfPeer(id)] += rate
+	}
+	return rates
+}
+
+// regionOfPeer returns the region of a data centre that reports as a whole. Any other peer is a host of this data centre.
+func (n *Node) regionOfPeer(id string) string {
+	for dataCentre, region := range n.settings.Regions {
+		if id == gossip.DataCentrePeerID(dataCentre) {
+			return region
+		}
+	}
+	return n.settings.Region
+}
+
 // relayChanges sends changes that this host watched to the other hosts of the data centre.
 func (n *Node) relayChanges(c steer.Changes) {
 	if gossiper := n.gossiper.Load(); gossiper != nil {
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -251,6 +251,18 @@
 	}
 }
 
+// SetDemand sets the mean fraction of all requests that comes from each region.
+func (p *Placer) SetDemand(demand map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		s.demand = nil
+		if s.features.DemandShares.Enabled(s.contested || s.reportsWorkFactor) {
+			s.demand = demand
+		}
+	}
+}
+
 // newRefusal returns a refusal of a request that was not sent.
 func newRefusal(reason steer.Reason, retryAfter time.Duration) *steer.Refusal {
 	return &steer.Refusal{
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -10,6 +10,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/belief"
+	"monsoonhub.example/steer/internal/edge/region"
 )
 
 const (
@@ -100,8 +101,8 @@
 	onLimitChange   func(LimitChange)
 	targets         map[string]*targetState   // By target id.
 	targetsByRegion map[string][]*targetState // Those of targets, by region.
-	goalShares      []share                   // Shares of regions that follow from their capacity.
-	shares          []share                   // Shares in force; they move towards goalShares.
+	goalShares      []region.Share            // Shares of regions that follow from their capacity.
+	shares          []region.Share            // Shares in force; they move towards goalShares.
 	capacities      map[string]float64        // Capacity of regions, in slots.
 	ownRegion       string                    // Region of this host.
 	pinned          map[string]float64        // Mean fraction of requests that may run in one region only, by region.
@@ -118,6 +119,7 @@
 	fleetSize int         // Number of hosts that share the targets, with those that are not registered.
 	yielding  yielding
 
+	demand            map[string]float64 // Mean fraction of all requests that comes from each region; nil means equal demand.
 	features          steer.Features
 	contested         bool   // The deployment announces contested capacity.
 	reportsWorkFactor bool   // A target of the service has reported a work factor.
@@ -214,8 +216,8 @@
 	for region, c := range s.capacities {
 		unpinned[region] = math.Max(0, c-s.pinned[region]*total)
 	}
-	if s.goalShares = divideDemand(s.ownRegion, unpinned); s.goalShares == nil {
-		s.goalShares = divideDemand(s.ownRegion, s.capacities)
+	if s.goalShares = region.Divide(s.ownRegion, unpinned, s.demand); s.goalShares == nil {
+		s.goalShares = region.Divide(s.ownRegion, s.capacities, s.demand)
 	}
 }
 
@@ -235,7 +237,7 @@
 		s.shares, s.sharesUpdated = s.goalShares, now // Without requests, the move needs no limit.
 		return
 	}
-	s.shares = moveTowards(s.shares, s.goalShares, maxStep(now.Sub(s.sharesUpdated)), s.capacities)
+	s.shares = region.MoveTowards(s.shares, s.goalShares, region.MaxStep(now.Sub(s.sharesUpdated)), s.capacities)
 	s.sharesUpdated = now
 }
 
@@ -273,16 +275,16 @@
 		s.pinnedRequests[onlyRegion]++
 	}
 	request.avoidsLimits = s.yielding.withholds(now, request.Priority)
-	region := regionAt(s.shares, position)
-	if !request.allowsRegion(region) || s.capacities[region] == 0 {
-		region = s.fallbackRegion(request, c)
+	keyRegion := region.At(s.shares, position)
+	if !request.allowsRegion(keyRegion) || s.capacities[keyRegion] == 0 {
+		keyRegion = s.fallbackRegion(request, c)
 	}
-	if region == "" {
+	if keyRegion == "" {
 		return nil, false, steer.ReasonNoTarget
 	}
-	home := s.home(now, request, hash, func(other string) bool { return other == region })
+	home := s.home(now, request, hash, func(other string) bool { return other == keyRegion })
 	if home == nil {
-		home = s.home(now, request, hash, func(other string) bool { return other != region && request.allowsRegion(other) })
+		home = s.home(now, request, hash, func(other string) bool { return other != keyRegion && request.allowsRegion(other) })
 	}
 	if home == nil {
 		return nil, false, s.noTargetReason(now, &request)
@@ -292,8 +294,8 @@
 		home, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
 	}
 	if t.loadPerSlot(now) >= s.loadLimit(&request, t) || s.full(t) {
-		if t = s.spareLimited(now, request, hash, region); t == nil {
-			t = s.overflow(now, request, hash, region)
+		if t = s.spareLimited(now, request, hash, keyRegion); t == nil {
+			t = s.overflow(now, request, hash, keyRegion)
 		}
 		if t == nil {
 			return nil, false, steer.ReasonCapacity
--- a/internal/quota/share/share.go
+++ b/internal/quota/share/share.go
@@ -319,6 +319,23 @@
 	return sum, int(hosts)
 }
 
+// DemandByPeer returns the requests per second of each peer that is heard, by ID, and those of this host. Only customers with quotas
+// count.
+func (t *Table) DemandByPeer() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	demand := map[string]float64{}
+	for name, c := range t.customers {
+		demand[t.config.Host] += c.ownUsage.Requested
+		for id, p := range t.peers {
+			if p.counted {
+				demand[id] += p.report[name].Requested
+			}
+		}
+	}
+	return demand
+}
+
 // updateShares determines which peers are heard, and recomputes the share of each quota that they use with this host. A peer
 // that falls silent keeps the share that it had at its last report, since it computes the same share itself. The others use
 // the rest.
