Conclude nothing from answers with an invalid status

Cause: net/http reads any status of three digits, and no reader of answers checked it. Package back took every status below 200 for an informational answer and waited for another one until the deadline; a status above 599 was believed and passed on, with what the answer said of load, limit, signature and "not run". A booking that ran and was answered with 600 and "not run" was sent to another target. The relay of host panicked on a status below 100, and passed on or believed the others. The client of the platform took a status below 100, and 101, for success, and one above 599 for a write without effect. Health checks, the store's client and links of gossip rejected such answers, but those above 599 left their connection in use.

Change: answer.CheckHead, which back and relay call for each head, accepts 100 to 599 only: the request may have run, nothing else in the answer counts. answer.Transport does the same for clients of net/http (platform, kvhttp, probe, gossip) and rejects a switch of protocols that was not asked for. Connections of such answers are closed; relay closes those of all answers in doubt. The search for an answer within another one includes invalid statuses.

--- a/internal/edge/answer/answer.go
+++ b/internal/edge/answer/answer.go
@@ -1,6 +1,7 @@
 // Package answer recognises bytes that a client reads as one HTTP answer although they are not: a target may break off an answer
-// anywhere and go on with another one on the same connection, such as a late copy of the answer before it. Nothing may be
-// concluded from such bytes, not even that a request has not run.
+// anywhere and go on with another one on the same connection, such as a late copy of the answer before it, or answer with a status
+// that HTTP does not have. Nothing may be concluded from such bytes, not even that a request has not run. A Transport rejects such
+// statuses for clients of net/http.
 package answer
 
 import (
@@ -21,12 +22,30 @@
 // versionPrefix begins each status line.
 const versionPrefix = "HTTP/1."
 
-// statusPattern matches the part of a status line that is in no value of a header otherwise.
-var statusPattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+// minStatus and maxStatus are the least and the greatest valid status code (RFC 9110, section 15). net/http reads 000 to 999.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// statusPattern matches the part of a status line that is in no value of a header otherwise. It includes statuses that HTTP does
+// not have, since answers with them are broken off and repeated as others are.
+var statusPattern = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 
-// CheckHead returns ErrNotOne if the head of an answer cannot be one head as its sender wrote it: it contains another status
-// line, bytes that no head may contain, or one of the given headers more than once.
+// CheckStatus returns ErrNotOne if a status code is not a valid one.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return fmt.Errorf("%w: status %03d", ErrNotOne, status)
+	}
+	return nil
+}
+
+// CheckHead returns ErrNotOne if the head of an answer cannot be one head as its sender wrote it: it has no valid status, contains
+// another status line or bytes that no head may contain, or has one of the given headers more than once.
 func CheckHead(response *http.Response, single ...string) error {
+	if err := CheckStatus(response.StatusCode); err != nil {
+		return err
+	}
 	if err := checkText(response.Status); err != nil {
 		return err
 	}
@@ -143,8 +162,6 @@
 			last = '1'
 		case len(versionPrefix) + 1:
 			first, last = ' ', ' '
-		case len(versionPrefix) + 2:
-			first, last = '1', '5'
 		}
 		if data[i] < first || data[i] > last {
 			return false
--- a/internal/edge/answer/answer_test.go
+++ b/internal/edge/answer/answer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -37,3 +39,25 @@
 		assert.NilError(t, answer.CheckBody([]byte(filler), []byte(late), "Id"))
 	}
 }
+
+// Guards against answers with a status that HTTP does not have, alone and behind an answer that is broken off.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for status, valid := range map[int]bool{
+		-1: false, 0: false, 99: false, 100: true, 101: true, 200: true, 404: true, 599: true, 600: false, 777: false, 999: false,
+	} {
+		head := http.Response{
+			StatusCode: status,
+		}
+		assert.Equal(t, answer.CheckHead(&head) == nil, valid, status)
+		if status < 0 {
+			continue
+		}
+		line := fmt.Sprintf("HTTP/1.1 %03d X", status)
+		head = http.Response{
+			StatusCode: http.StatusOK,
+			Header:     http.Header{"X": {"a" + line}},
+		}
+		assert.ErrorIs(t, answer.CheckHead(&head), answer.ErrNotOne, line)
+		assert.ErrorIs(t, answer.CheckBody([]byte("some "+line+"\r\nId: 6\r\n\r\n"), nil, "Id"), answer.ErrNotOne, line)
+	}
+}
--- a/internal/edge/pass/pass_test.go
+++ b/internal/edge/pass/pass_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -91,6 +92,19 @@
 	_, _ = fmt.Fprint(socket, "HTTP/1.1 503 Busy\r\nId: earlier\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
+// answerInvalid returns a behaviour that runs the request and answers with a status that net/http does not write, and a header.
+func answerInvalid(status, header string) behaviour {
+	return func(_ int, w http.ResponseWriter, r *http.Request) {
+		socket, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = socket.Close() }()
+		_, _ = fmt.Fprintf(socket, "HTTP/1.1 %s X\r\nId: %s\r\n%s\r\nContent-Length: 0\r\n\r\n", status, r.Header.Get("Id"), header)
+		_, _ = socket.Read(make([]byte, 1)) // Leaves the connection open until the host closes it.
+	}
+}
+
 func hang(_ int, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 func newTestEnv(t testing.TB, targets int, b behaviour) *testEnv {
@@ -291,6 +305,41 @@
 	}
 }
 
+// Guards against a booking that waits until its deadline, or is sent again, because a target that may have run it answers with a
+// status that HTTP does not have, and against such a status that reaches the caller. A query must be sent to another target.
+func TestInvalidStatusMayHaveRun(t *testing.T) {
+	const atOnce = 200 * time.Millisecond // The timeout of the routes is 400 ms.
+	for _, status := range []string{"000", "099", "600", "777", "999"} {
+		for _, header := range []string{"Signature: s", "Not-Run: 1"} {
+			for _, path := range []string{"/booking/1", "/query/1"} {
+				t.Run(status+" "+header+path, func(t *testing.T) {
+					e := newTestEnv(t, 3, func(n int, w http.ResponseWriter, r *http.Request) {
+						if n == 1 {
+							answerInvalid(status, header)(n, w, r)
+							return
+						}
+						succeed(n, w, r)
+					})
+					begun := time.Now()
+					response := e.send(path)
+					took := time.Since(begun)
+					assert.Check(t, took < atOnce, "answered after %v", took)
+					received := e.requests()
+					if path == "/query/1" {
+						assert.Equal(t, response.Status, http.StatusOK)
+						assert.Equal(t, len(received), 2)
+						assert.Assert(t, received[0].Header.Get("Expected") != received[1].Header.Get("Expected"))
+						return
+					}
+					assert.Equal(t, response.Status, http.StatusBadGateway)
+					assert.Assert(t, strings.Contains(string(response.Body), steer.MayHaveRun.String()), "%s", response.Body)
+					assert.Equal(t, len(received), 1)
+				})
+			}
+		}
+	}
+}
+
 // Guards against treating a target that closed an idle connection as failed: requests with its affinity key would go to other
 // targets.
 func TestStaleConnectionIsNoTargetFailure(t *testing.T) {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/ops/guard"
 	"monsoonhub.example/steer/internal/quota/share"
 )
@@ -165,8 +166,10 @@
 			Metrics: c.Metrics,
 		}),
 		client: &http.Client{
-			Transport: &http.Transport{
-				MaxResponseHeaderBytes: maxHeadBytes,
+			Transport: answer.Transport{
+				Base: &http.Transport{
+					MaxResponseHeaderBytes: maxHeadBytes,
+				},
 			},
 		},
 		ctx:               ctx,
--- a/internal/plat/kvhttp/client.go
+++ b/internal/plat/kvhttp/client.go
@@ -20,6 +20,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/api/gen/http/store/client"
 	"monsoonhub.example/steer/internal/api/gen/store"
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
@@ -72,7 +73,9 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	doer := meter.LimitBodies(&http.Client{
-		Transport: transport,
+		Transport: answer.Transport{
+			Base: transport,
+		},
 	}, maxBody)
 	h := client.NewClient("http", c.Address.String(), doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return &Client{
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -18,6 +18,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/api/gen/http/target/client"
 	"monsoonhub.example/steer/internal/api/gen/target"
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
 
@@ -197,7 +198,9 @@
 // poller returns a poller for the target, with an empty report.
 func (p *Prober) poller(t steer.Target) *poller {
 	doer := &http.Client{
-		Transport: p.config.Transport,
+		Transport: answer.Transport{
+			Base: p.config.Transport,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -1,11 +1,13 @@
 package probe_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/route/probe"
@@ -268,3 +271,72 @@
 		assert.NilError(t, p.Close(context.Background()))
 	})
 }
+
+// condition waits for a function to return true.
+func condition(done func() bool) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}
+}
+
+// Guards against a health check whose answer has a status that HTTP does not have: it is neither a report of a healthy target nor
+// of a failing one, and its connection must not be used again.
+func TestInvalidStatusIsNoReport(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "777", "999"} {
+		t.Run(status, func(t *testing.T) {
+			var mu sync.Mutex
+			invalid := false
+			polls := map[string]int{} // Requests of each connection that were answered with the status.
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body := map[string]string{"/target/health": `{"state":"ready"}`, "/target/load": busy}[r.URL.Path]
+				mu.Lock()
+				defer mu.Unlock()
+				if !invalid {
+					w.Header().Set("Content-Type", "application/json")
+					_, _ = io.WriteString(w, body)
+					return
+				}
+				socket, _, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				polls[socket.RemoteAddr().String()]++
+				_, _ = fmt.Fprintf(socket, "HTTP/1.1 %s X\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n", status)
+				go func() {
+					defer socket.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						polls[socket.RemoteAddr().String()]++
+					}
+				}()
+			}))
+			defer server.Close()
+			p := probe.New(probe.Config{
+				DataCentre: "golfo-1",
+				Source:     newSource(server.Listener.Addr().String()),
+				Interval:   20 * time.Millisecond,
+			})
+			defer func() { assert.NilError(t, p.Close(context.Background())) }()
+			poll.WaitOn(t, condition(func() bool { return p.Report("t0").Healthy }))
+			mu.Lock()
+			invalid = true
+			mu.Unlock()
+			poll.WaitOn(t, condition(func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return len(polls) >= 3
+			}))
+			last := p.Report("t0")
+			time.Sleep(100 * time.Millisecond)
+			r := p.Report("t0")
+			assert.Assert(t, r == last && r.Healthy && r.Slots == 9, "%+v, want %+v", r, last)
+			mu.Lock()
+			defer mu.Unlock()
+			for connection, n := range polls {
+				assert.Check(t, n == 1, "%d requests over %s", n, connection)
+			}
+		})
+	}
+}
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -36,6 +36,7 @@
 	state              atomic.Uint32
 	writes             atomic.Uint32
 	reused             atomic.Bool
+	conn               atomic.Pointer[guardedConn]
 	closeBody          func()      // Closes the reader of the request body; set once the response header has arrived.
 	lateWritePrevented atomic.Bool // A write was prevented because the deadline had passed.
 }
@@ -47,6 +48,7 @@
 			a.reused.Store(info.Reused)
 			if c, ok := info.Conn.(*guardedConn); ok {
 				c.current.Store(a)
+				a.conn.Store(c)
 			}
 		},
 	}
--- a/internal/serve/relay/fault_test.go
+++ b/internal/serve/relay/fault_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -9,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -398,6 +400,93 @@
 	}
 }
 
+// rawServer answers each request with fixed bytes, in which ID is replaced by the ID of the request, and keeps the connection.
+type rawServer struct {
+	address  netip.AddrPort
+	requests chan string // Address of the peer and path of each request.
+}
+
+func newRawServer(t *testing.T, answer string) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &rawServer{
+		address:  addressOf(l),
+		requests: make(chan string, 100),
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			wg.Go(func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for r, err := http.ReadRequest(reader); err == nil; r, err = http.ReadRequest(reader) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					s.requests <- c.RemoteAddr().String()
+					_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", r.Header.Get("Steering-Request-Id")))
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return s
+}
+
+// Guards against a status that HTTP does not have, of a target or of another host: nothing that its response says may count, the
+// caller must get 502 at once, and the connection must not be used again.
+func TestInvalidStatusMayHaveRun(t *testing.T) {
+	const atOnce = time.Second // The deadline is 5 s away.
+	for _, status := range []string{"000", "099", "600", "777", "999"} {
+		for name, head := range map[string]string{
+			"ran":     "Steering-Verdict: ran\r\n",
+			"not run": "Steering-Verdict: not-run\r\nSteering-Reason: no-capacity\r\nRetry-After: 9\r\n",
+		} {
+			answer := "HTTP/1.1 " + status + " X\r\nSteering-Request-Id: ID\r\nSteering-Draining: true\r\n" + head + "Content-Length: 0\r\n\r\n"
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				for _, from := range []string{"target", "host"} {
+					t.Run(strings.Join([]string{status, name, method, from}, ", "), func(t *testing.T) {
+						s := newRawServer(t, answer)
+						spec := steer.Target{
+							ID:         "t1",
+							DataCentre: "a1",
+							Address:    s.address,
+						}
+						reason := steer.ReasonTargetFailed
+						if from == "host" {
+							spec.DataCentre = "a2"
+							reason = steer.ReasonForwardFailed
+						}
+						f := newFleet(t, spec)
+						h := f.addHost("h1", "a1", "a", nil)
+						if from == "host" {
+							f.addHost("h2", "a2", "a", nil).member.PeerAddress = s.address
+						}
+						used := make(map[string]bool)
+						for range 3 {
+							begun := time.Now()
+							a := call(t, newClient(t), method, h.url+"/s/reservas/x", nil, "Steering-Deadline-Ms", "5000")
+							assert.Assert(t, time.Since(begun) < atOnce)
+							a.check(t, steer.MayHaveRun, reason)
+							assert.Equal(t, a.status, http.StatusBadGateway)
+							assert.Equal(t, len(s.requests), 1, "sent again")
+							connection := <-s.requests
+							assert.Assert(t, !used[connection], "connection was used again")
+							used[connection] = true
+							if from == "target" {
+								o := <-h.outcomes
+								assert.Assert(t, o.Failed && o.Verdict == steer.MayHaveRun && !o.Draining && !o.Shed, "%+v", o)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // A hedge must give a response while the first target hangs. It must use the retry budget and release its unit of capacity.
 func TestHedge(t *testing.T) {
 	fake, spec := newTarget(t, "t1", "a1")
--- a/internal/serve/relay/send.go
+++ b/internal/serve/relay/send.go
@@ -103,7 +103,7 @@
 	if p.state.CompareAndSwap(attemptWaiting, attemptAnswered) && err == nil {
 		p.closeBody = closeBody
 		if err := h.checkAnswer(x, resp); err != nil {
-			p.end(resp)
+			p.abort(resp)
 			return nil, p, refuse(steer.MayHaveRun, to.reason, err)
 		}
 		return resp, p, nil
@@ -192,6 +192,14 @@
 	a.cancel()
 }
 
+// abort is like end, and closes the connection, which the transport would use again after a response without a body.
+func (a *attempt) abort(resp *http.Response) {
+	if c := a.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+	a.end(resp)
+}
+
 // readResponse reads the first part of a response. A response of known length up to bufferSize is read completely, so that a
 // truncated one can still be refused or retried. For others, it reads once.
 func (h *Handler) readResponse(x *exchange, resp *http.Response, p *attempt, reason steer.Reason) (*response, error) {
