Bound the informational answers to one request

Cause: package back skipped informational answers until the bytes of all heads of a request (64 KB) were used up, which are up to 4,096 heads of 16 bytes.

Change: the 65th informational answer ends the request as one that may have run, and its connection. The first bound that is reached holds: the number for heads under 1 KB, else the bytes. Clients of net/http (relay, platform, kvhttp, probe, gossip: 64 KB; links: 4 KB) have the bound in bytes alone, which holds for all heads of a request together as long as no trace takes informational answers. Switching protocols (101) stays no informational answer.

Figures: 65 and 2,000 informational answers of 27 bytes before an answer were skipped before, and end the request now; 64 pass.

--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -27,6 +27,10 @@
 	// maxStrayAnswers bounds the answers to other requests that are skipped before the own answer.
 	maxStrayAnswers = 3
 
+	// maxInformationalAnswers bounds the informational answers to one request. At 10 a second, the longest timeout of a route
+	// (4 s) has 40. Answers with heads of more than 1 KB reach maxHeadBytes first.
+	maxInformationalAnswers = 64
+
 	// largeBody is the size in bytes above which a request body is written concurrently with reading the answer, since a
 	// target may answer before it has read the whole body.
 	largeBody = 16 << 10
@@ -44,13 +48,14 @@
 var ErrUnfinished = errors.New("answer did not end in time")
 
 var (
-	errTooManyStrayAnswers = errors.New("answers of other requests came first")
-	errUnsigned            = errors.New("success without a signature of the target")
-	errAnswerTooLarge      = errors.New("answer is too long")
-	errNoID                = fmt.Errorf("%w: it has no id of a request", answer.ErrNotOne)
-	errContradiction       = fmt.Errorf("%w: it says that a request has run and has not run", answer.ErrNotOne)
-	errIncompleteRefusal   = fmt.Errorf("%w: its refusal may have been broken off", answer.ErrNotOne)
-	errUpgrade             = errors.New("target switched protocols")
+	errTooManyStrayAnswers  = errors.New("answers of other requests came first")
+	errTooManyInformational = errors.New("too many informational answers")
+	errUnsigned             = errors.New("success without a signature of the target")
+	errAnswerTooLarge       = errors.New("answer is too long")
+	errNoID                 = fmt.Errorf("%w: it has no id of a request", answer.ErrNotOne)
+	errContradiction        = fmt.Errorf("%w: it says that a request has run and has not run", answer.ErrNotOne)
+	errIncompleteRefusal    = fmt.Errorf("%w: its refusal may have been broken off", answer.ErrNotOne)
+	errUpgrade              = errors.New("target switched protocols")
 )
 
 // exchange is one request and its answer on a connection.
@@ -193,7 +198,7 @@
 	request := &http.Request{
 		Method: x.call.Method,
 	}
-	strayAnswers := 0
+	strayAnswers, informational := 0, 0
 	for {
 		response, err := x.readHead(request)
 		if err != nil {
@@ -203,6 +208,9 @@
 			return failed(errUpgrade)
 		}
 		if response.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformationalAnswers {
+				return failed(errTooManyInformational)
+			}
 			continue
 		}
 		body, err := x.readBody(ctx, response)
--- a/internal/edge/back/status_test.go
+++ b/internal/edge/back/status_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +51,36 @@
 	}
 }
 
+// Guards against a target that holds up a request by small informational answers, and against too few of them before an answer.
+func TestInformationalAnswersAreBounded(t *testing.T) {
+	const piece = "HTTP/1.1 102 Processing\r\n\r\n"
+	for _, c := range []struct {
+		count int
+		runs  bool
+	}{
+		{count: 0, runs: true},
+		{count: 64, runs: true},
+		{count: 65},
+		{count: 2000}, // Within the limit in bytes.
+	} {
+		s := newScriptedTarget(t, func(connection, _ int) string {
+			if connection > 1 {
+				return ok("fresh")
+			}
+			return strings.Repeat(piece, c.count) + ok("abc")
+		})
+		p := newPool(t)
+		r := p.Do(context.Background(), newCall(s, "7"))
+		if c.runs {
+			assert.Check(t, r.Err == nil && r.Verdict == steer.Ran && r.Status == http.StatusOK, "%d: %+v", c.count, r)
+			continue
+		}
+		assert.Check(t, r.Err != nil && r.Verdict == steer.MayHaveRun && r.Status == 0, "%d: %+v", c.count, r)
+		next := p.Do(context.Background(), newCall(s, "8"))
+		assert.Check(t, next.Err == nil && !next.Reused && string(next.Body) == "fresh", "%d: %+v", c.count, next)
+	}
+}
+
 // Guards against an answer that is broken off anywhere and the late copy of one with an invalid status that pass for one answer.
 func TestBrokenAnswerAndInvalidCopyAreNotOneAnswer(t *testing.T) {
 	for _, broken := range brokenAnswers {
