Feed estimates of target speed from placement

Change: place.Placer observes each response in the estimator of its target if the feature target-speed is in use: on, or auto with contested capacity or a work factor in a load report. targetState.slowness and targetState.capacity give the estimates to the choice of targets, which does not use them yet. The usual work is tracked by class and home region, so that the distance to a region is not taken for slowness. An object counts as known to a target if this host sent it there within 10 s (8,192 objects a service, 64 KB). SpeedNotes and MergeSpeedNotes are for the exchange between hosts; TargetSpeeds and SpeedSummary for explanations and metrics.

The reference of a class starts with the quantile of nine responses: from a single one that is heavy, its small steps need over a hundred responses to come down. 45 % instead of 30 % of an uncertain sample with about three times the usual work count as slow: with 30 %, a target that was 5 times slower for some hosts counted as usual whenever its samples were near the lower end.

--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -21,6 +21,7 @@
 	Ejection   func(Ejection)    // Called for each ejection of a target; must not block. Nil means none.
 
 	LimitChange func(LimitChange) // Called when the limit of a target changes; must not block. Nil means none.
+	SpeedChange func(SpeedChange) // Called when a target is found slow or recovered; must not block. Nil means none.
 
 	Features   steer.Features
 	Deployment steer.Deployment
@@ -60,6 +61,7 @@
 	Limit         steer.TargetLimit // Limit that the target is known to have named.
 	class         string
 	loadPerSlot   float64
+	object        uint64 // Hash of the object; 0 if the request concerns none.
 	targetState   *targetState
 	started       time.Time
 }
@@ -94,6 +96,9 @@
 	if c.LimitChange == nil {
 		c.LimitChange = func(LimitChange) {}
 	}
+	if c.SpeedChange == nil {
+		c.SpeedChange = func(SpeedChange) {}
+	}
 	return &Placer{
 		config:   c,
 		services: map[string]*service{},
@@ -171,6 +176,9 @@
 		targetState:   best,
 		started:       now,
 	}
+	if request.Key != "" {
+		choice.object = hash
+	}
 	best.inFlight++
 	return choice, nil
 }
@@ -181,6 +189,7 @@
 	defer p.mu.Unlock()
 	s := p.services[c.Target.Service] // Services are never dropped.
 	c.targetState.finish(now, c.started, o)
+	s.observeSpeed(now, &c, &o)
 	if o.Inconclusive {
 		return
 	}
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -128,6 +128,8 @@
 	pinnedRequests map[string]int // Those of requests that may run in one region only, by region.
 	lastRequest    time.Time      // Arrival of the last request.
 	spillUpdated   time.Time      // Last update of spillFraction.
+
+	speeds serviceSpeeds
 }
 
 func newService(c Config) *service {
@@ -141,6 +143,7 @@
 
 		pinnedRequests: map[string]int{},
 		reportLife:     minReportLife,
+		speeds:         newServiceSpeeds(c),
 	}
 }
 
--- /dev/null
+++ b/internal/edge/place/speeds.go
@@ -0,0 +1,329 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/speed"
+)
+
+const (
+	// knownTime is the time after its last request from this host for which an object counts as known to a target. Targets keep some
+	// tens of objects, a request or a few a second for each.
+	knownTime = 10 * time.Second
+
+	// objectSlots is the number of objects at targets that a host remembers for each service. It is a power of two and several
+	// times the requests of a host within knownTime.
+	objectSlots = 1 << 13
+
+	// maxReferences bounds the classes and regions of a service whose usual work is tracked.
+	maxReferences = 1024
+
+	// maxSpeedNotes bounds the targets of which other hosts are told in one round.
+	maxSpeedNotes = 64
+
+	// foundSlow is the slowness from which a target is reported as slow, and foundRecovered that below which it is reported as recovered.
+	foundSlow      = 2.0
+	foundRecovered = 1.4
+
+	// tellFirst is the factor from 1 from which the samples of a target are told before those of others.
+	tellFirst = 1.25
+
+	// lowCapacity is the fraction of its slots below which the capacity of a target counts as low in SpeedSummary.
+	lowCapacity = 0.75
+)
+
+// SpeedChange says that a target was found slow, or recovered.
+type SpeedChange struct {
+	Target      string // ID of the target.
+	Slow        bool
+	Slowness    float64 // As in speed.Estimator.
+	Capacity    float64 // Requests in progress that it takes without slowing down.
+	OwnSamples  int     // Samples of this host behind the estimate.
+	PeerSamples int     // Samples of other hosts behind it.
+}
+
+// SpeedSummary counts targets by their speed.
+type SpeedSummary struct {
+	Measured    int // Targets with samples.
+	Slow        int // Targets that are reported as slow.
+	LowCapacity int // Targets whose capacity is well below their slots.
+}
+
+// TargetSpeed is what is known of the speed of a target.
+type TargetSpeed struct {
+	Target string // ID.
+	InUse  bool   // Requests are placed by it.
+	speed.Explanation
+}
+
+// targetSpeed is the estimate of a target.
+type targetSpeed struct {
+	estimator *speed.Estimator // Nil without samples.
+	slow      bool             // The target was reported as slow.
+}
+
+// serviceSpeeds is what the estimates of a service's targets have in common.
+type serviceSpeeds struct {
+	mode        steer.Mode
+	contested   bool // As in steer.Deployment.
+	workFactors bool // A target reported a work factor.
+	onChange    func(SpeedChange)
+	references  map[referenceKey]*speed.Reference
+	objects     []objectSlot // Objects that this host sent to targets lately; nil before the first.
+	since       time.Time    // Start of the times in objects.
+}
+
+// referenceKey identifies requests of about the same work at the same distance.
+type referenceKey struct {
+	class  string
+	region string // Home region of the targets.
+}
+
+// objectSlot remembers one object at one target.
+type objectSlot struct {
+	hash uint32
+	at   uint32 // Milliseconds since the start of serviceSpeeds.
+}
+
+func newServiceSpeeds(c Config) serviceSpeeds {
+	return serviceSpeeds{
+		mode:       c.Features.TargetSpeed,
+		contested:  c.Deployment.ContestedCapacity,
+		onChange:   c.SpeedChange,
+		references: map[referenceKey]*speed.Reference{},
+	}
+}
+
+// reportsWorkFactor reports whether a target of the service has reported a work factor.
+func (s *service) reportsWorkFactor() bool { return s.speeds.workFactors }
+
+// usesSpeed reports whether the speed of targets is learned and used.
+func (s *service) usesSpeed() bool {
+	return s.speeds.mode.Enabled(s.speeds.contested || s.reportsWorkFactor())
+}
+
+// slowness returns the time that the target takes relative to the median target of the service: above 1 it is slower. It is 1
+// while nothing is known, or the feature is not in use.
+func (t *targetState) slowness(now time.Time) float64 {
+	if t.speed.estimator == nil || !t.service.usesSpeed() {
+		return 1
+	}
+	return t.speed.estimator.Slowness(now)
+}
+
+// capacity returns the number of requests in progress up to which the target does not slow down, from 1 to its slots. It is the
+// number of its slots while nothing is known, or the feature is not in use.
+func (t *targetState) capacity(now time.Time) float64 {
+	if t.speed.estimator == nil || !t.service.usesSpeed() {
+		return t.slots()
+	}
+	return t.speed.estimator.Capacity(now)
+}
+
+// estimator returns the estimator of the target, and creates it if needed.
+func (t *targetState) estimator() *speed.Estimator {
+	if t.speed.estimator == nil {
+		t.speed.estimator = speed.New(speed.Config{
+			Slots: t.slots(),
+		})
+	}
+	t.speed.estimator.SetSlots(t.slots())
+	return t.speed.estimator
+}
+
+// observeSpeed learns from the outcome of a request. Refusals, failures and lost connections say nothing about the speed.
+func (s *service) observeSpeed(now time.Time, c *Choice, o *Outcome) {
+	factor := 0.0
+	if o.Load != nil {
+		factor = o.Load.WorkFactor
+	}
+	s.speeds.workFactors = s.speeds.workFactors || factor > 0
+	if !s.usesSpeed() || o.Inconclusive || o.Gone || o.Shed || o.Failed && !o.TimedOut {
+		return
+	}
+	t := c.targetState
+	e := t.estimator()
+	sample := speed.Sample{
+		Latency:     o.Latency,
+		Load:        c.loadPerSlot*t.slots() + 1,
+		KnownObject: s.speeds.knows(now, t, c.object),
+		WorkFactor:  factor,
+		Answered:    !o.TimedOut,
+	}
+	reference := s.speeds.reference(c.class, t.target.HomeRegion)
+	sample.ExpectedWork = reference.Work()
+	if sample.Answered {
+		reference.Observe(e.Work(sample), e.Gap(now), sample.KnownObject)
+		s.speeds.remember(now, t, c.object)
+	}
+	e.Observe(now, sample)
+}
+
+// reference returns the usual work of a class at the targets of a region.
+func (p *serviceSpeeds) reference(class, region string) *speed.Reference {
+	key := referenceKey{
+		class:  class,
+		region: region,
+	}
+	r := p.references[key]
+	if r == nil {
+		if len(p.references) >= maxReferences {
+			clear(p.references)
+		}
+		r = &speed.Reference{}
+		p.references[key] = r
+	}
+	return r
+}
+
+// object returns the place of an object at a target, and what it holds if the object is remembered.
+func (p *serviceSpeeds) object(now time.Time, t *targetState, object uint64) (*objectSlot, objectSlot) {
+	if p.objects == nil {
+		p.objects, p.since = make([]objectSlot, objectSlots), now.Add(-2*knownTime)
+	}
+	hash := mix(object ^ t.idHash)
+	return &p.objects[hash%objectSlots], objectSlot{
+		hash: uint32(hash >> 32),
+		at:   uint32(now.Sub(p.since).Milliseconds()), // Wraps around after 50 days, when a few objects count as known once.
+	}
+}
+
+// knows reports whether a target probably knows an object: this host sent it there within knownTime. Requests without an object take
+// the same work at all times.
+func (p *serviceSpeeds) knows(now time.Time, t *targetState, object uint64) bool {
+	if object == 0 {
+		return true
+	}
+	slot, current := p.object(now, t, object)
+	return slot.hash == current.hash && current.at-slot.at < uint32(knownTime.Milliseconds())
+}
+
+// remember records that a target has handled an object.
+func (p *serviceSpeeds) remember(now time.Time, t *targetState, object uint64) {
+	if object != 0 {
+		slot, current := p.object(now, t, object)
+		*slot = current
+	}
+}
+
+// SpeedNotes returns the samples of targets that other hosts need, at most maxSpeedNotes targets. Slow and fast targets come first. The
+// others wait for the next call in a random order.
+func (p *Placer) SpeedNotes(now time.Time) []steer.SpeedObservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var notes, later []*targetState
+	for t := range p.estimated() {
+		t.reportSpeed(now)
+		if math.Abs(math.Log(t.slowness(now))) > math.Log(tellFirst) {
+			notes = append(notes, t)
+		} else {
+			later = append(later, t)
+		}
+	}
+	var out []steer.SpeedObservation
+	for _, t := range append(notes, later...) {
+		if len(out) == maxSpeedNotes {
+			break
+		}
+		if report, ok := t.speed.estimator.Report(now); ok {
+			out = append(out, steer.SpeedObservation{
+				Target:  t.target.ID,
+				Samples: report.Samples,
+			})
+		}
+	}
+	return out
+}
+
+// MergeSpeedNotes applies the samples that other hosts saw. Each note must be merged once only.
+func (p *Placer) MergeSpeedNotes(now time.Time, notes []steer.SpeedObservation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, note := range notes {
+		for t := range p.target(note.Target) {
+			if t.service.usesSpeed() {
+				t.estimator().Merge(now, speed.Report{
+					Samples: note.Samples,
+				})
+			}
+		}
+	}
+}
+
+// estimated yields the targets with an estimate that is in use. The caller holds the mutex.
+func (p *Placer) estimated() func(yield func(*targetState) bool) {
+	return func(yield func(*targetState) bool) {
+		for _, s := range p.services {
+			if !s.usesSpeed() {
+				continue
+			}
+			for _, t := range s.targets {
+				if t.speed.estimator != nil && !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// reportSpeed reports that the target was found slow or recovered.
+func (t *targetState) reportSpeed(now time.Time) {
+	slowness := t.slowness(now)
+	if t.speed.slow == (slowness > foundRecovered) || !t.speed.slow && slowness < foundSlow {
+		return
+	}
+	t.speed.slow = !t.speed.slow
+	x := t.speed.estimator.Explain(now)
+	t.service.speeds.onChange(SpeedChange{
+		Target:      t.target.ID,
+		Slow:        t.speed.slow,
+		Slowness:    x.Slowness,
+		Capacity:    x.Capacity,
+		OwnSamples:  x.OwnSamples,
+		PeerSamples: x.PeerSamples,
+	})
+}
+
+// SpeedSummary counts targets by their speed, as of the last SpeedNotes.
+func (p *Placer) SpeedSummary(now time.Time) SpeedSummary {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var summary SpeedSummary
+	for t := range p.estimated() {
+		summary.Measured++
+		if t.speed.slow {
+			summary.Slow++
+		}
+		if t.capacity(now) < lowCapacity*t.slots() {
+			summary.LowCapacity++
+		}
+	}
+	return summary
+}
+
+// TargetSpeeds returns what is known of the speed of the targets of a service.
+func (p *Placer) TargetSpeeds(now time.Time, name string) []TargetSpeed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[name]
+	if s == nil {
+		return nil
+	}
+	out := make([]TargetSpeed, 0, len(s.targets))
+	for id, t := range s.targets {
+		e := t.speed.estimator
+		if e == nil {
+			e = speed.New(speed.Config{
+				Slots: t.slots(),
+			})
+		}
+		out = append(out, TargetSpeed{
+			Target:      id,
+			InUse:       s.usesSpeed(),
+			Explanation: e.Explain(now),
+		})
+	}
+	return out
+}
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -62,6 +62,7 @@
 	limit               *requestLimit // Nil if the target names no limit.
 	liftedAt            time.Time     // When the last limit was lifted; zero if none was.
 	liftNews            bool          // This host saw the limit being lifted and has not told others yet.
+	speed               targetSpeed
 }
 
 // reportAge returns the age of the last report, or -1 if there was none.
--- a/internal/edge/speed/reference.go
+++ b/internal/edge/speed/reference.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,18 +11,18 @@
 	// slow for seconds do not become the measure.
 	minReferenceRate = 0.03
 
-	// maxReferenceWeight bounds the weight of a response and its inverse.
-	maxReferenceWeight = 4.0
-
 	// referenceQuantile is the quantile of the work of all targets that is the usual work. It is above lowerQuantile because that of
 	// the median target lies higher among the samples of all targets, where some are faster and some slower.
 	referenceQuantile = 0.45
 
+	// maxReferenceWeight bounds the weight of a response and its inverse.
+	maxReferenceWeight = 4.0
+
 	// gapRate is the weight of the newest gap in the mean gap.
 	gapRate = 0.05
 
-	// minKnownSamples is the number of responses for known objects from which others do not count.
-	minKnownSamples = 8
+	// firstSamples is the number of responses from which the usual work counts as known.
+	firstSamples = 9
 )
 
 // Reference is the usual work of a class of requests for objects that their targets know, over all targets of a service. The
@@ -29,11 +30,14 @@
 type Reference struct {
 	gap     float64 // Mean time in seconds between the responses of one target.
 	bits    float64 // Binary logarithm of the work in seconds.
-	samples int     // Samples that count, up to the number from which the step is the smallest.
-	known   int     // Those for known objects, up to minKnownSamples.
+	samples int     // Samples that count; 0 before the first quantile.
+	known   bool    // Only samples for known objects count.
+
+	first      []float64 // Logarithms of the first samples; nil once there are enough.
+	firstKnown []float64 // Those for known objects.
 }
 
-// Work returns the usual work, or 0 before the first sample.
+// Work returns the usual work, or 0 before there are enough samples.
 func (r *Reference) Work() time.Duration {
 	if r.samples == 0 {
 		return 0
@@ -45,26 +49,24 @@
 // was none, and determines the weight: each target should count the same, however many requests it gets. Requests for objects
 // that the target may not know count only until enough others are known.
 func (r *Reference) Observe(work, gap time.Duration, knownObject bool) {
-	if work <= 0 || !knownObject && r.known >= minKnownSamples {
+	if work <= 0 || !knownObject && r.known {
 		return
 	}
-	if knownObject && r.known < minKnownSamples {
-		r.known++
-	}
-	weight := 1.0
-	if gap > 0 {
-		if r.gap == 0 {
-			r.gap = gap.Seconds()
+	weight := r.weight(gap)
+	bits := math.Log2(work.Seconds())
+	if knownObject && !r.known {
+		r.firstKnown = append(r.firstKnown, bits)
+		if r.known = r.begin(r.firstKnown); r.known {
+			r.first, r.firstKnown = nil, nil
+			return
 		}
-		r.gap += gapRate * (gap.Seconds() - r.gap)
-		weight = math.Max(1/maxReferenceWeight, math.Min(maxReferenceWeight, gap.Seconds()/r.gap))
 	}
-	bits := math.Log2(work.Seconds())
-	r.samples++
-	if r.samples == 1 {
-		r.bits = bits
+	if r.samples == 0 {
+		r.first = append(r.first, bits)
+		r.begin(r.first)
 		return
 	}
+	r.samples++
 	step := weight * math.Max(minReferenceRate, 1/float64(r.samples))
 	if bits > r.bits {
 		r.bits = math.Min(bits, r.bits+step*referenceQuantile)
@@ -72,3 +74,25 @@
 		r.bits = math.Max(bits, r.bits-step*(1-referenceQuantile))
 	}
 }
+
+// begin sets the usual work to the quantile of the first samples, and reports whether there are enough.
+func (r *Reference) begin(first []float64) bool {
+	if len(first) < firstSamples {
+		return false
+	}
+	sorted := slices.Sorted(slices.Values(first))
+	r.bits, r.samples = sorted[int(referenceQuantile*float64(len(sorted)))], firstSamples
+	return true
+}
+
+// weight returns the weight of a response, given the time since the one before it of the same target.
+func (r *Reference) weight(gap time.Duration) float64 {
+	if gap <= 0 {
+		return 1
+	}
+	if r.gap == 0 {
+		r.gap = gap.Seconds()
+	}
+	r.gap += gapRate * (gap.Seconds() - r.gap)
+	return math.Max(1/maxReferenceWeight, math.Min(maxReferenceWeight, gap.Seconds()/r.gap))
+}
--- a/internal/edge/speed/report.go
+++ b/internal/edge/speed/report.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"monsoonhub.example/steer"
 )
 
 const (
@@ -24,17 +26,9 @@
 	watchedSample   = 1.6
 )
 
-// Report holds samples for other hosts.
+// Report holds samples for other hosts, at most MaxReportSamples in the order in which they were recorded.
 type Report struct {
-	Samples []ReportedSample // At most MaxReportSamples, in the order of time.
-}
-
-// ReportedSample is a sample after normalisation.
-type ReportedSample struct {
-	Ratio     float64       // Work relative to the expected work.
-	Load      float64       // Requests at the target for each of its slots.
-	Uncertain bool          // The target may not know the object.
-	Age       time.Duration // Time since the request was sent.
+	Samples []steer.SpeedSample
 }
 
 // pendingPoint is an own sample that other hosts have not been told.
@@ -71,14 +65,14 @@
 		return Report{}, false
 	}
 	report := Report{
-		Samples: make([]ReportedSample, 0, len(e.pending)),
+		Samples: make([]steer.SpeedSample, 0, len(e.pending)),
 	}
 	for _, p := range e.pending {
-		report.Samples = append(report.Samples, ReportedSample{
-			Ratio:     math.Exp2(p.bits),
-			Load:      p.load,
-			Uncertain: p.uncertain,
-			Age:       now.Sub(p.at),
+		report.Samples = append(report.Samples, steer.SpeedSample{
+			Ratio:       math.Exp2(p.bits),
+			LoadPerSlot: p.load,
+			Uncertain:   p.uncertain,
+			Age:         now.Sub(p.at),
 		})
 	}
 	e.pending = e.pending[:0]
@@ -89,13 +83,13 @@
 // left out.
 func (e *Estimator) Merge(now time.Time, r Report) {
 	for _, s := range r.Samples[:min(len(r.Samples), MaxReportSamples)] {
-		if !(s.Ratio > 0) || !(s.Load >= 0) || s.Age < 0 || s.Age > maxReportAge {
+		if !(s.Ratio > 0) || !(s.LoadPerSlot >= 0) || s.Age < 0 || s.Age > maxReportAge {
 			continue
 		}
 		p := point{
 			at:        now.Add(-s.Age),
 			bits:      math.Max(-maxBits, math.Min(maxBits, math.Log2(s.Ratio))),
-			load:      s.Load,
+			load:      s.LoadPerSlot,
 			uncertain: s.Uncertain,
 			peer:      true,
 		}
--- a/internal/edge/speed/speed.go
+++ b/internal/edge/speed/speed.go
@@ -11,11 +11,11 @@
 	// unknownCost is the work for an object that the target does not know, relative to that for one that it knows. Ratios within a
 	// factor of unknownSpread of it say little if it is uncertain whether the target knows the object.
 	unknownCost   = 3.0
-	unknownSpread = 1.45
+	unknownSpread = 1.4
 
 	// unknownWeight is the part of the weight of a sample with such a ratio that counts at it. The rest counts at 1, so that a
 	// target which gets unknown objects only never counts as slow.
-	unknownWeight = 0.3
+	unknownWeight = 0.45
 
 	// decayTime is the time after which the weight of a sample has fallen to 1/e. With lowerQuantile, a slowdown is known
 	// after about 1 s of steady samples, and one of disturbanceTime is not taken for one.
--- a/internal/edge/speed/speed_test.go
+++ b/internal/edge/speed/speed_test.go
@@ -252,17 +252,18 @@
 // Guards against a target that gets as many requests as it has slots although it slows down long before, and against one that gets
 // fewer than it takes because of disturbances. Load: 1 to 1.5 times the slots, 3 % heavy requests, 20 % unknown objects.
 func TestCapacityIsLearned(t *testing.T) {
+	const runs = 50
 	loads := func(r *rand.Rand) float64 { return 1 + r.Float64()*(1.5*slots-1) }
 	for _, knee := range []float64{0.25 * slots, 0.5 * slots, slots} {
 		capacity, slowness := 0.0, 0.0
-		for _, seed := range seeds(t, 20) {
+		for _, seed := range seeds(t, runs) {
 			p := newPlayer(seed, traffic{rate: 8, heavy: 0.03, unknown: 0.2, knee: knee, loads: loads})
 			assert.Equal(t, p.estimator.Capacity(start), float64(slots))
 			for at := time.Duration(0); at < 30*time.Second; at += tick {
 				p.step(at)
 				if at >= 10*time.Second {
-					capacity += p.estimator.Capacity(start.Add(at)) / (20 * 2000)
-					slowness += p.estimator.Slowness(start.Add(at)) / (20 * 2000)
+					capacity += p.estimator.Capacity(start.Add(at)) / (runs * 2000)
+					slowness += p.estimator.Slowness(start.Add(at)) / (runs * 2000)
 				}
 			}
 		}
--- a/platform.go
+++ b/platform.go
@@ -126,6 +126,21 @@
 	Age    time.Duration // Time since the answer arrived.
 }
 
+// SpeedObservation holds results of requests to a target, as a host saw them. They are samples and not an estimate, so that hosts can
+// combine what several of them saw.
+type SpeedObservation struct {
+	Target  string // ID.
+	Samples []SpeedSample
+}
+
+// SpeedSample is the result of one request, relative to what is usual for requests of its class.
+type SpeedSample struct {
+	Ratio       float64       // Work relative to the usual work of the class at the targets of the service.
+	LoadPerSlot float64       // Requests at the target when it was sent, for each slot of the target.
+	Uncertain   bool          // The target may not have known the object, which takes longer.
+	Age         time.Duration // Time since the request was sent.
+}
+
 // CrashReport says that a target closed its connection without an answer to a request, or that a target answered the request.
 type CrashReport struct {
 	Request  uint64        // Key of the request, the same on all hosts.
