--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -21,6 +21,7 @@
 	Ejection   func(Ejection)    // Called for each ejection of a target; must not block. Nil means none.
 
 	LimitChange func(LimitChange) // Called when the limit of a target changes; must not block. Nil means none.
+	SpeedChange func(SpeedChange) // Called when a target is found slow or recovered; must not block. Nil means none.
 
 	Features   steer.Features
 	Deployment steer.Deployment
@@ -61,6 +62,7 @@
 	Limit         steer.TargetLimit // Limit that the target is known to have named.
 	class         string
 	loadPerSlot   float64
+	object        uint64 // Hash of the object; 0 if the request concerns none.
 	targetState   *targetState
 	started       time.Time
 }
@@ -95,6 +97,9 @@
 	if c.LimitChange == nil {
 		c.LimitChange = func(LimitChange) {}
 	}
+	if c.SpeedChange == nil {
+		c.SpeedChange = func(SpeedChange) {}
+	}
 	return &Placer{
 		config:   c,
 		services: map[string]*service{},
@@ -172,6 +177,9 @@
 		targetState:   best,
 		started:       now,
 	}
+	if request.Key != "" {
+		choice.object = hash
+	}
 	best.inFlight++
 	return choice, nil
 }
@@ -182,14 +190,20 @@
 	defer p.mu.Unlock()
 	s := p.services[c.Target.Service] // Services are never dropped.
 	c.targetState.finish(now, c.started, o)
+	s.observeSpeed(now, &c, &o)
 	if o.Inconclusive {
 		return
 	}
+	// The work of a class is that at the median target.
+	latency := time.Duration(float64(o.Latency) / c.targetState.noticedSlowness(now))
 	switch {
 	case o.TimedOut:
-		s.recordLatency(c.class, o.Latency, c.loadPerSlot, false)
+		s.recordLatency(c.class, latency, c.loadPerSlot, false)
 	case !o.Failed && !o.Shed:
-		s.recordLatency(c.class, o.Latency, c.loadPerSlot, true)
+		if s.usesCopies() || s.usesSpeed() {
+			s.objects.remember(now, c.targetState, c.object)
+		}
+		s.recordLatency(c.class, latency, c.loadPerSlot, true)
 	}
 }
 
@@ -257,7 +271,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.services {
 		s.demand = nil
-		if s.features.DemandShares.Enabled(s.contested || s.reportsWorkFactor) {
+		if s.features.DemandShares.Enabled(s.contested || s.reportsWorkFactor()) {
 			s.demand = demand
 		}
 	}
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -75,19 +75,20 @@
 // loadLimit returns the load per slot of a target from which a request is refused, so that the requests sent are answered in
 // time. A request leaves room for more urgent classes: it may not make them wait longer than their objective allows, and a
 // request whose work exceeds that objective leaves a slot free for them.
-func (s *service) loadLimit(request *Request, t *targetState) float64 {
+func (s *service) loadLimit(now time.Time, request *Request, t *targetState) float64 {
 	factor := objectiveFactors[min(max(request.Priority, 0), len(objectiveFactors)-1)]
-	work := s.work.value
+	slowness := t.noticedSlowness(now)
+	work := slowness * s.work.value
 	if work == 0 || request.Objective == 0 {
 		return maxLoadLimit
 	}
-	ownWork := s.expectedWork(request.Class)
+	ownWork := slowness * s.expectedWork(request.Class)
 	loadLimit := math.Min(maxLoadLimit, math.Max(minLoadLimit, 1+(factor*request.Objective.Seconds()-ownWork)/work))
 	for _, c := range s.activeClasses {
 		if c.priority.value > float64(request.Priority)-minPriorityGap || c.objective == 0 {
 			continue
 		}
-		loadLimit = math.Min(loadLimit, math.Max(minLoadLimit, 1+(c.objective-c.work.value)/work))
+		loadLimit = math.Min(loadLimit, math.Max(minLoadLimit, 1+(c.objective-slowness*c.work.value)/work))
 		if ownWork > c.objective {
 			loadLimit = math.Min(loadLimit, 1-1/t.slots())
 		}
@@ -119,11 +120,10 @@
 	fleetSize int         // Number of hosts that share the targets, with those that are not registered.
 	yielding  yielding
 
-	demand            map[string]float64 // Mean fraction of all requests that comes from each region; nil means equal demand.
-	features          steer.Features
-	contested         bool   // The deployment announces contested capacity.
-	reportsWorkFactor bool   // A target of the service has reported a work factor.
-	ownDataCentre     string // Data centre of this host.
+	demand        map[string]float64 // Mean fraction of all requests that comes from each region; nil means equal demand.
+	features      steer.Features
+	contested     bool   // The deployment announces contested capacity.
+	ownDataCentre string // Data centre of this host.
 
 	maxInFlight int // Limit on this host's requests in progress at a target, each of which takes a connection; 0 for none.
 
@@ -135,6 +135,10 @@
 	pinnedRequests map[string]int // Those of requests that may run in one region only, by region.
 	lastRequest    time.Time      // Arrival of the last request.
 	spillUpdated   time.Time      // Last update of spillFraction.
+
+	speeds  serviceSpeeds
+	objects objectMemory
+	weights weights
 }
 
 func newService(c Config) *service {
@@ -151,6 +155,7 @@
 
 		pinnedRequests: map[string]int{},
 		reportLife:     minReportLife,
+		speeds:         newServiceSpeeds(c),
 	}
 }
 
@@ -188,21 +193,29 @@
 
 // updateShares recomputes the capacity of regions and their shares.
 func (s *service) updateShares(now time.Time, c Config) {
-	s.capacities = map[string]float64{}
+	s.ownRegion = c.Region
+	s.capacities = make(map[string]float64, len(c.Regions))
 	for _, region := range c.Regions {
 		s.capacities[region] = 0
 	}
+	s.updateCapacities()
+	if s.shares == nil {
+		s.shares = s.goalShares
+	}
+	s.advanceShares(now)
+}
+
+// updateCapacities recomputes the capacity of regions and the shares that follow from it.
+func (s *service) updateCapacities() {
+	for region := range s.capacities {
+		s.capacities[region] = 0
+	}
 	for region, targets := range s.targetsByRegion {
 		for _, t := range targets {
-			s.capacities[region] += t.slots()
+			s.capacities[region] += t.slots() * s.weights.of(t)
 		}
 	}
-	s.ownRegion = c.Region
 	s.updateGoal()
-	if s.shares == nil {
-		s.shares = s.goalShares
-	}
-	s.advanceShares(now)
 }
 
 // updateGoal recomputes goalShares from the capacity of regions. Requests that may run in one region only take precedence
@@ -254,6 +267,7 @@
 		}
 		step := maxSpillChange * math.Min(elapsed.Seconds(), 1)
 		s.spillFraction = math.Min(maxSpill, s.spillFraction+math.Min(step, math.Max(-step, fraction-s.spillFraction)))
+		s.updateWeights(now)
 		s.updatePinned()
 		s.requests, s.foundFull, s.spilled, s.spillUpdated = 0, 0, 0, now
 	}
@@ -293,7 +307,7 @@
 	if s.usesCopies() {
 		home, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
 	}
-	if t.loadPerSlot(now) >= s.loadLimit(&request, t) || s.full(t) {
+	if t.loadPerSlot(now) >= s.loadLimit(now, &request, t) || s.full(t) {
 		if t = s.spareLimited(now, request, hash, keyRegion); t == nil {
 			t = s.overflow(now, request, hash, keyRegion)
 		}
@@ -380,10 +394,10 @@
 // preferred returns the target that a key prefers, by highest random weight (rendezvous hashing), or nil if there is none.
 func preferred(hash uint64, targets iter.Seq[*targetState]) *targetState {
 	var best *targetState
-	maxWeight := uint64(0)
+	highest := 0.0
 	for t := range targets {
-		if weight := mix(hash ^ t.idHash); best == nil || weight > maxWeight {
-			best, maxWeight = t, weight
+		if score := t.score(hash); best == nil || score > highest {
+			best, highest = t, score
 		}
 	}
 	return best
@@ -475,11 +489,12 @@
 // expectedLatency returns the time in seconds until a target has answered one more request. The work counts only up to the
 // objective: when all answers are late, a late answer is still better than none.
 func (s *service) expectedLatency(now time.Time, t *targetState, request *Request) float64 {
-	work := math.Min(s.expectedWork(request.Class), maxWorkFraction*request.TimeLeft.Seconds())
+	slowness := t.noticedSlowness(now)
+	work := math.Min(slowness*s.expectedWork(request.Class), maxWorkFraction*request.TimeLeft.Seconds())
 	if request.Objective > 0 {
 		work = math.Min(work, request.Objective.Seconds())
 	}
-	return work + s.work.value*math.Max(0, t.loadPerSlot(now)-1)
+	return work + slowness*s.work.value*math.Max(0, t.loadPerSlot(now)-1)
 }
 
 // retryAfter returns the time after which a queue of one request for each slot is worked off.
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -62,7 +62,8 @@
 	limit               *requestLimit // Nil if the target names no limit.
 	liftedAt            time.Time     // When the last limit was lifted; zero if none was.
 	liftNews            bool          // This host saw the limit being lifted and has not told others yet.
-	objects             recentObjects // Objects that this host sent to the target.
+	speed               targetSpeed
+	weight              targetWeight
 }
 
 // reportAge returns the age of the last report, or -1 if there was none.
@@ -86,8 +87,11 @@
 // slots returns the number of requests that the target processes concurrently.
 func (t *targetState) slots() float64 { return float64(max(t.target.Slots, 1)) }
 
-// loadPerSlot returns the estimated load of the target divided by its slots. Above 1, requests queue at the target.
-func (t *targetState) loadPerSlot(now time.Time) float64 { return t.estimatedLoad(now) / t.slots() }
+// loadPerSlot returns the estimated load of the target divided by the requests that it takes at once, which are its slots while no
+// smaller capacity is known. Above 1, requests queue at the target or slow each other down.
+func (t *targetState) loadPerSlot(now time.Time) float64 {
+	return t.estimatedLoad(now) / t.capacity(now)
+}
 
 // usable reports whether the target is neither replaced nor ejected.
 func (t *targetState) usable(now time.Time) bool {
@@ -173,9 +177,6 @@
 	t.totalRequests = float64(load.Running + load.Waiting)
 	t.otherRequests = math.Max(0, t.totalRequests-float64(t.inFlight))
 	t.reportedAt = at
-	if load.WorkFactor > 0 {
-		t.service.reportsWorkFactor = true
-	}
 }
 
 // busyLoad is the load per slot from which other hosts are notified of the load of a target. Below it they don't need it.
