Name narrow hosts while the others are loaded

Cause: where processors are short, the wide hosts of a data centre may not carry all of its callers, while narrow ones are idle.

Change: each host measures the share of its link and of its processor in use in the last second (bytes on connections of callers and to targets, getrusage) and reports it in its round messages, with the number of narrow hosts that it names: a new optional field of 29 bytes that older builds ignore. The first host by id that reports decides and the others take its number over, so that directories agree. Other data centres learn the number from the speaker.

While the mean load of the named hosts is above 0.5, narrow hosts are added, but only if that lowers the largest load: callers spread evenly, so a link of 10 Mbit/s beside wide ones gets more than it can carry. Below 0.3 for 20 s one is removed at a time. If all hosts that are always named fall silent, all are named before their registrations end.

node.TestRollingReplacementCutsNoRequest failed once in a run with -race at a load of 15 on 7 cores (Shutdown ended with its deadline).

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -19,6 +19,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
+	"monsoonhub.example/steer/internal/edge/meter"
 )
 
 const (
@@ -111,6 +112,7 @@
 	Memory  int64            // Memory of the process in bytes, a fraction of which may hold answers. 0 selects 128 MB.
 	Dial    steer.Dial       // Opens connections. Nil selects a dialer for TCP.
 	Conns   *conns.Budget    // Counts the connections. Nil selects a budget of its own.
+	Traffic *meter.Traffic   // Counts the bytes read and written. Optional.
 	Metrics metrics.Registry // Nil selects a private registry.
 }
 
@@ -120,6 +122,7 @@
 	memoryBudget  *memoryBudget
 	dial          steer.Dial
 	conns         *conns.Budget
+	traffic       *meter.Traffic
 	dials         metrics.Counter
 	noMemory      metrics.Counter
 	strayAnswers  metrics.Counter // Answers to other requests than the one that waits.
@@ -159,6 +162,7 @@
 		memoryBudget:  newMemoryBudget(c.Memory),
 		dial:          c.Dial,
 		conns:         c.Conns,
+		traffic:       c.Traffic,
 		dials:         metrics.GetOrRegisterCounter("back-dials", c.Metrics),
 		noMemory:      metrics.GetOrRegisterCounter("back-no-memory", c.Metrics),
 		strayAnswers:  metrics.GetOrRegisterCounter("back-stray-answers", c.Metrics),
@@ -320,6 +324,7 @@
 func (p *Pool) open(ctx context.Context, e *steer.Endpoint) (*conn, error) {
 	c := &conn{
 		targetID: e.ID,
+		traffic:  p.traffic,
 	}
 	var ok bool
 	if c.counted, ok = p.conns.Add(func() bool { return p.closeUnused(c) }); !ok {
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -21,6 +21,7 @@
 	counted   *conns.Conn // In the budget of the host.
 	socket    net.Conn
 	meter     *meter.Reader
+	traffic   *meter.Traffic
 	reader    *bufio.Reader
 	address   netip.AddrPort
 	keep      time.Duration // Maximum idle time, from the last answer.
@@ -51,6 +52,7 @@
 func (c *conn) start(socket net.Conn, address netip.AddrPort) {
 	c.socket, c.address = socket, address
 	c.meter = meter.New(socket)
+	c.meter.CountIn(c.traffic)
 	c.reader = bufio.NewReaderSize(c.meter, 4<<10)
 	c.idleSince = time.Now()
 	c.idleUntil = c.idleSince.Add(defaultIdleTimeout)
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -76,11 +76,13 @@
 	head := x.head()
 	if len(call.Body) > largeBody {
 		go func() {
-			_, err := (&net.Buffers{head, call.Body}).WriteTo(c.socket)
+			n, err := (&net.Buffers{head, call.Body}).WriteTo(c.socket)
+			c.traffic.AddSent(n)
 			written <- err
 		}()
 	} else {
 		n, err := c.socket.Write(append(head, call.Body...))
+		c.traffic.AddSent(int64(n))
 		if err != nil {
 			return writeFailed(n, err)
 		}
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -159,7 +159,7 @@
 		Metrics:    registry,
 	})
 	hosts := slices.Concat(newHosts("a", "r", 10, 200, 10, 200, 10), newHosts("b", "r", 10, 200))
-	s.Update(start, hosts, largePlan)
+	s.Update(start, hosts, largePlan, steer.HostLoad{})
 	assert.Equal(t, metrics.GetOrRegisterGauge("entry-named", registry).Value(), int64(2))
 	assert.Equal(t, metrics.GetOrRegisterGauge("entry-known", registry).Value(), int64(5))
 }
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -64,6 +64,7 @@
 
 func newConn(s *Server, socket net.Conn) *conn {
 	m := meter.New(socket)
+	m.CountIn(s.config.Traffic)
 	ctx, cancel := context.WithCancel(context.Background())
 	handlerCtx, stopHandlers := context.WithCancel(ctx)
 	c := &conn{
@@ -462,9 +463,11 @@
 		body = nil
 	}
 	if len(body) <= maxCopiedBody {
-		_, err := c.socket.Write(append(buffer, body...))
+		n, err := c.socket.Write(append(buffer, body...))
+		c.server.config.Traffic.AddSent(int64(n))
 		return err
 	}
-	_, err := (&net.Buffers{buffer, body}).WriteTo(c.socket)
+	n, err := (&net.Buffers{buffer, body}).WriteTo(c.socket)
+	c.server.config.Traffic.AddSent(n)
 	return err
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -15,6 +15,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
+	"monsoonhub.example/steer/internal/edge/meter"
 	"monsoonhub.example/steer/internal/ops/guard"
 )
 
@@ -103,6 +104,7 @@
 	Limits   func() steer.RequestLimits // Zero fields select defaults.
 	Memory   int64                      // Memory of the process in bytes, a fraction of which may hold bodies. 0 selects 128 MB.
 	Conns    *conns.Budget              // Counts the connections. Nil selects a budget of its own.
+	Traffic  *meter.Traffic             // Counts the bytes read and written. Optional.
 	Logger   log.Logger                 // Nil means no logging.
 	Metrics  metrics.Registry           // Nil means a private registry.
 }
--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -15,6 +15,7 @@
 // Reader reads from a source, counts the bytes, and fails once its limit is used up.
 type Reader struct {
 	source    io.Reader
+	traffic   *Traffic
 	remaining int64
 	bytesRead int64
 }
@@ -27,6 +28,9 @@
 	}
 }
 
+// CountIn makes the reader count the bytes that it reads from now on in a Traffic, which may be nil.
+func (r *Reader) CountIn(t *Traffic) { r.traffic = t }
+
 // SetLimit sets the number of further bytes that may be read from the source.
 func (r *Reader) SetLimit(n int64) { r.remaining = n }
 
@@ -47,6 +51,7 @@
 	n, err := r.source.Read(p)
 	r.remaining -= int64(n)
 	r.bytesRead += int64(n)
+	r.traffic.addReceived(int64(n))
 	return n, err
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -23,6 +23,7 @@
 	"monsoonhub.example/steer/internal/edge/entry"
 	"monsoonhub.example/steer/internal/edge/front"
 	"monsoonhub.example/steer/internal/edge/join"
+	"monsoonhub.example/steer/internal/edge/meter"
 	"monsoonhub.example/steer/internal/edge/pass"
 	"monsoonhub.example/steer/internal/edge/place"
 	"monsoonhub.example/steer/internal/edge/poison"
@@ -94,6 +95,8 @@
 	placer     *place.Placer
 	quotas     *share.Table
 	entryHosts *entry.Selector
+	load       *entry.Meter // Used only by the rounds of the gossiper.
+	traffic    meter.Traffic
 	gossiper   atomic.Pointer[gossip.Gossiper] // Nil while the follower starts, which may already relay changes.
 	conns      *conns.Budget
 	targets    *back.Pool
@@ -206,7 +209,9 @@
 		Bounds:   quotaBounds(s),
 		MinHosts: len(s.Regions), // Every data centre has a host.
 	})
+	n.load = entry.NewMeter(s.LinkMbps, s.CPUCores())
 	n.entryHosts = entry.New(entry.Config{
+		Host:       s.HostID,
 		DataCentre: s.DataCentre,
 		Mode:       s.DirectoryHosts,
 		Deployment: c.Deployment,
@@ -224,6 +229,7 @@
 		Headers: c.Headers,
 		Memory:  int64(s.MemoryMB) << 20,
 		Conns:   n.conns,
+		Traffic: &n.traffic,
 		Metrics: c.Metrics,
 	})
 	n.poison = poison.New(poison.Config{
@@ -254,6 +260,8 @@
 		OnLimits:     n.placer.MergeLimitNotes,
 		Crashes:      n.poison.Reports,
 		OnCrashes:    n.poison.Merge,
+		Load:         n.updateEntryHosts,
+		OnLoad:       n.receiveLoad,
 		OnPeerStatus: n.handlePeerStatus,
 		Changes:      n.handleChanges,
 		OnAsked:      n.answerWithListing,
@@ -308,6 +316,7 @@
 		Limits:   n.requestLimits,
 		Memory:   int64(s.MemoryMB) << 20,
 		Conns:    n.conns,
+		Traffic:  &n.traffic,
 		Logger:   c.Logger,
 		Metrics:  c.Metrics,
 	})
@@ -390,7 +399,6 @@
 		fleet.MaxHosts = max(fleet.Hosts, startupHostCount)
 	}
 	n.placer.Update(now, view, fleet)
-	n.entryHosts.Update(now, n.entryCandidates(view), view.Plan())
 	n.poison.SetRegistered(now, view.Rejected)
 	if view.Listed && view.Index != nil {
 		n.syncOnce.Do(func() { close(n.synced) })
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -349,10 +349,8 @@
 	})
 }
 
-// Guards against a directory that sends callers to hosts with narrow links, one that depends on the host that is asked, and one that goes
-// on naming a wide host that has left.
-func TestDirectoryNamesHostsByCapacity(t *testing.T) {
-	platform := newCatalog(t, 0)
+// putLargeRoute adds a route with large responses to the plan.
+func putLargeRoute(platform *catalog) {
 	plan := *platform.fact("plan").Plan
 	plan.Version++
 	plan.Routes = append(slices.Clone(plan.Routes), steer.PlanRoute{
@@ -367,39 +365,69 @@
 		Key:  "plan",
 		Plan: &plan,
 	})
+}
+
+// startHosts starts hosts of one data centre with the given links in Mbit/s and cores.
+func startHosts(t *testing.T, platform *catalog, links, cores []float64) ([]*node.Node, []*platformFuncs, []netip.AddrPort) {
+	t.Helper()
 	var nodes []*node.Node
 	var directories []*platformFuncs
 	var addresses []netip.AddrPort
-	for i, link := range []float64{10, 200, 200, 10} {
+	for i := range links {
 		n, funcs, settings := newHostWith(t, fmt.Sprint("host-", i), "golfo-a", "golfo", platform, func(s *setup.Settings) {
-			s.DirectoryHosts, s.LinkMbps, s.CPUShare, s.Cores = steer.ModeAuto, link, 0.1, 8
+			s.DirectoryHosts, s.LinkMbps, s.CPUShare, s.Cores = steer.ModeAuto, links[i], 0.1, 10*cores[i]
 		})
 		nodes, directories, addresses = append(nodes, n), append(directories, funcs), append(addresses, settings.Listen)
 	}
-	namesOnly := func(asked []*platformFuncs, want ...netip.AddrPort) func() bool {
-		return func() bool {
-			for _, funcs := range asked {
-				list, _ := funcs.lookup("h.example", "golfo", "golfo-a")
-				slices.SortFunc(list, netip.AddrPort.Compare)
-				if !slices.Equal(list, want) {
-					return false
-				}
+	return nodes, directories, addresses
+}
+
+// allName returns a function that reports whether all directories name just these hosts.
+func allName(directories []*platformFuncs, want ...netip.AddrPort) func() bool {
+	return func() bool {
+		for _, funcs := range directories {
+			list, _ := funcs.lookup("h.example", "golfo", "golfo-a")
+			slices.SortFunc(list, netip.AddrPort.Compare)
+			if !slices.Equal(list, want) {
+				return false
 			}
-			return true
 		}
+		return true
 	}
-	waitUntil(t, "all directories name the wide hosts", namesOnly(directories, addresses[1], addresses[2]))
-	assert.Equal(t, platform.fact("hosts/host-1").Host.CPUCores, 0.8)
+}
+
+// Guards against a directory that sends callers to hosts with narrow links, one that depends on the host that is asked, and one that goes
+// on naming a wide host that has left.
+func TestDirectoryNamesHostsByCapacity(t *testing.T) {
+	platform := newCatalog(t, 0)
+	putLargeRoute(platform)
+	nodes, directories, addresses := startHosts(t, platform, []float64{10, 200, 200, 10}, []float64{4, 8, 8, 4})
+	waitUntil(t, "all directories name the wide hosts", allName(directories, addresses[1], addresses[2]))
+	assert.Equal(t, platform.fact("hosts/host-1").Host.LinkMbps, 200.0)
+	assert.Equal(t, platform.fact("hosts/host-1").Host.CPUCores, 8.0)
 	assert.NilError(t, nodes[1].Shutdown(context.Background()))
-	waitUntil(t, "the directories name the wide host that is left, and another one",
-		namesOnly([]*platformFuncs{directories[0], directories[2], directories[3]}, addresses[0], addresses[2]))
+	directories = slices.Delete(directories, 1, 2)
+	waitUntil(t, "the directories name the wide host that is left, and another one", allName(directories, addresses[0], addresses[2]))
 	assert.NilError(t, nodes[2].Shutdown(context.Background()))
-	waitUntil(t, "the directories name the narrow hosts",
-		namesOnly([]*platformFuncs{directories[0], directories[3]}, addresses[0], addresses[3]))
+	directories = slices.Delete(directories, 1, 2)
+	waitUntil(t, "the directories name the narrow hosts", allName(directories, addresses[0], addresses[3]))
 	assert.NilError(t, nodes[0].Shutdown(context.Background()))
 	assert.NilError(t, nodes[3].Shutdown(context.Background()))
 }
 
+// Guards against loads of hosts that are not measured, or do not reach the other hosts: the processors of the wide hosts are so small that
+// they are loaded without any request.
+func TestDirectoryNamesNarrowHostsUnderLoad(t *testing.T) {
+	platform := newCatalog(t, 0)
+	putLargeRoute(platform)
+	nodes, directories, addresses := startHosts(t, platform, []float64{200, 200, 10}, []float64{1e-5, 1e-5, 8})
+	waitUntil(t, "all directories name the wide hosts", allName(directories, addresses[:2]...))
+	waitUntil(t, "all directories name the narrow host too", allName(directories, addresses...))
+	for _, n := range nodes {
+		assert.NilError(t, n.Shutdown(context.Background()))
+	}
+}
+
 // Guards against a stopping host that cuts requests in flight, or does not ask callers on open connections to leave.
 func TestShutdownCutsNoRequest(t *testing.T) {
 	platform := newCatalog(t, 100*time.Millisecond)
--- a/internal/peer/gossip/export_test.go
+++ b/internal/peer/gossip/export_test.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"monsoonhub.example/steer"
+)
 
 // Receive handles the bytes of one message without the guard against panics.
 func (g *Gossiper) Receive(data []byte) error {
@@ -24,3 +28,17 @@
 	}
 	return n
 }
+
+// LoadBytes returns the number of bytes that the load of a host adds to a message.
+func LoadBytes(l steer.HostLoad) int {
+	size := func(m message) int {
+		data, err := encode(&m)
+		if err != nil {
+			panic(err)
+		}
+		return len(data)
+	}
+	return size(message{
+		Load: toWireLoad(l),
+	}) - size(message{})
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -40,7 +40,7 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Changes and
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Load, OnLoad, Changes and
 // OnAsked are optional.
 type Config struct {
 	Host         string
@@ -56,6 +56,8 @@
 	OnLimits     func(now time.Time, limits []steer.LimitObservation) // Called with limits that other hosts of any region saw.
 	Crashes      func(now time.Time) []steer.CrashReport              // Returns the crashes to be reported in this round.
 	OnCrashes    func(now time.Time, crashes []steer.CrashReport)     // Called with crashes that another host reported.
+	Load         func(now time.Time) (steer.HostLoad, bool)           // Returns the load to be reported in this round; false if none.
+	OnLoad       func(at time.Time, r LoadReport)                     // Called with the load of another host at a time.
 	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
 	Changes      func(now time.Time, from string, c steer.Changes)    // Called with changes of entries that another host relayed.
 	OnAsked      func(host string)                                    // Called when another host asks this one for all entries.
@@ -63,6 +65,13 @@
 	Metrics      metrics.Registry                                     // Nil means a private registry.
 }
 
+// LoadReport is the load of another host of the data centre, or of a host that speaks for another data centre.
+type LoadReport struct {
+	Host       string // ID of the host; empty if its report is passed on, with ExtraHosts only.
+	DataCentre string
+	Load       steer.HostLoad
+}
+
 // PeerStatus is the report of another host or of a data centre.
 type PeerStatus struct {
 	PeerID            string // ID of the host, or DataCentrePeerID of the data centre. Empty if Usage is not set.
@@ -150,6 +159,12 @@
 	if c.OnCrashes == nil {
 		c.OnCrashes = func(time.Time, []steer.CrashReport) {}
 	}
+	if c.Load == nil {
+		c.Load = func(time.Time) (steer.HostLoad, bool) { return steer.HostLoad{}, false }
+	}
+	if c.OnLoad == nil {
+		c.OnLoad = func(time.Time, LoadReport) {}
+	}
 	if c.OnAsked == nil {
 		c.OnAsked = func(string) {}
 	}
--- a/internal/peer/gossip/leaders.go
+++ b/internal/peer/gossip/leaders.go
@@ -97,6 +97,7 @@
 	name      string
 	hostCount int
 	report    share.Report
+	load      *hostLoad // Of its speaker; nil if it has not reported any.
 	age       time.Duration
 }
 
@@ -137,12 +138,16 @@
 	u := newUsageEncoder(reports...)
 	m.Customers, m.Usage, m.RemoteDataCentres = u.customers, u.encode(usage), nil
 	for _, c := range remoteDataCentres {
-		m.RemoteDataCentres = append(m.RemoteDataCentres, remoteDataCentre{
+		passedOn := remoteDataCentre{
 			DataCentre: c.name,
 			HostCount:  c.hostCount,
 			Usage:      u.encode(c.report),
 			Age:        c.age.Milliseconds(),
-		})
+		}
+		if c.load != nil {
+			passedOn.ExtraHosts = &c.load.ExtraHosts
+		}
+		m.RemoteDataCentres = append(m.RemoteDataCentres, passedOn)
 	}
 }
 
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -26,6 +26,7 @@
 	if len(m.Crashes) > 0 {
 		g.config.OnCrashes(now, fromWireCrashes(m.Crashes))
 	}
+	g.handleLoads(now, m)
 	g.recordMessage(now, m, notes, limits, remote)
 	peerStatus, ok := g.peerStatus(now, m, remote)
 	if !ok {
@@ -35,6 +36,28 @@
 	g.handleRemoteUsage(now, m)
 }
 
+// handleLoads reports the load of the sender of a message, and those of other data centres that it passes on.
+func (g *Gossiper) handleLoads(now time.Time, m *message) {
+	if m.Load != nil && m.Host != g.config.Host {
+		g.config.OnLoad(now, LoadReport{
+			Host:       m.Host,
+			DataCentre: m.DataCentre,
+			Load:       m.Load.toLoad(),
+		})
+	}
+	for _, c := range m.RemoteDataCentres {
+		if c.ExtraHosts == nil || c.DataCentre == g.config.DataCentre {
+			continue
+		}
+		g.config.OnLoad(now.Add(-time.Duration(c.Age)*time.Millisecond), LoadReport{
+			DataCentre: c.DataCentre,
+			Load: steer.HostLoad{
+				ExtraHosts: *c.ExtraHosts,
+			},
+		})
+	}
+}
+
 // peerStatus returns the usage and hint of a message. It reports false if this host must ignore both: the message is a sum of
 // this data centre, and its hosts report to each other.
 func (g *Gossiper) peerStatus(now time.Time, m *message, remote bool) (PeerStatus, bool) {
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -36,7 +36,11 @@
 	limits := g.config.Limits(now)
 	crashes := g.config.Crashes(now)
 	hint, platformReachable := g.config.Hint(now)
-	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, hint, platformReachable); othersUsage != nil {
+	var load *hostLoad
+	if l, ok := g.config.Load(now); ok {
+		load = toWireLoad(l)
+	}
+	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, load, hint, platformReachable); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -49,7 +53,7 @@
 // returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
 	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
-	crashes []steer.CrashReport, hint Hint, platformReachable bool,
+	crashes []steer.CrashReport, load *hostLoad, hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -78,6 +82,7 @@
 		Emptied:           hint.Emptied,
 		Cold:              coldMillis(hint.Cold),
 		Crashes:           toWireCrashes(crashes),
+		Load:              load,
 	}
 	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
 	g.localLimits.add(now, limits)
@@ -94,6 +99,7 @@
 			name:      name,
 			hostCount: sum.message.HostCount,
 			report:    sum.message.report(sum.message.Usage),
+			load:      sum.message.Load,
 			age:       now.Sub(sum.messageReceivedAt),
 		})
 	}
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -39,6 +39,7 @@
 	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
+	Load              *hostLoad          `cbor:"load,omitempty"`          // Of the sender. Older builds neither send nor read it.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 	PeerAddress       string             `cbor:"peer-address,omitempty"` // Of the sender; empty if it is unknown.
 	ListingFrom       string             `cbor:"listing-from,omitempty"` // Host that is asked for all entries.
@@ -76,12 +77,27 @@
 	Age      int64 // Milliseconds.
 }
 
+// hostLoad is the encoding of a steer.HostLoad.
+type hostLoad struct {
+	Link       int `cbor:"link,omitempty"` // In units of 1/loadScale.
+	CPU        int `cbor:"cpu,omitempty"`  // In units of 1/loadScale.
+	ExtraHosts int `cbor:"extra,omitempty"`
+}
+
+// loadScale is the number of units on the wire for a link or processor that is in use all the time, and maxLoad bounds what is sent and
+// accepted.
+const (
+	loadScale = 1000
+	maxLoad   = 10 * loadScale
+)
+
 // remoteDataCentre is the report of another data centre that the sender passes on.
 type remoteDataCentre struct {
 	DataCentre string   `cbor:"data-centre"`
 	HostCount  int      `cbor:"hosts"`
-	Usage      []uint32 `cbor:"use"` // In the order of Customers in the message.
-	Age        int64    `cbor:"age"` // Milliseconds since the sender received it.
+	Usage      []uint32 `cbor:"use"`             // In the order of Customers in the message.
+	Age        int64    `cbor:"age"`             // Milliseconds since the sender received it.
+	ExtraHosts *int     `cbor:"extra,omitempty"` // As in hostLoad; nil if it is unknown.
 }
 
 // entryChanges is the encoding of steer.Changes.
@@ -313,6 +329,24 @@
 	return out
 }
 
+func toWireLoad(l steer.HostLoad) *hostLoad {
+	scaled := func(x float64) int { return int(math.Round(min(max(x*loadScale, 0), maxLoad))) }
+	return &hostLoad{
+		Link:       scaled(l.Link),
+		CPU:        scaled(l.CPU),
+		ExtraHosts: l.ExtraHosts,
+	}
+}
+
+func (l *hostLoad) toLoad() steer.HostLoad {
+	share := func(n int) float64 { return float64(min(max(n, 0), maxLoad)) / loadScale }
+	return steer.HostLoad{
+		Link:       share(l.Link),
+		CPU:        share(l.CPU),
+		ExtraHosts: l.ExtraHosts,
+	}
+}
+
 // addressText returns an address as text, empty if it is not valid.
 func addressText(address netip.AddrPort) string {
 	if !address.IsValid() {
--- a/platform.go
+++ b/platform.go
@@ -146,6 +146,13 @@
 	CPUCores    float64        `json:"cpu-cores,omitempty"` // Processor cores that it may use; 0 if that is unknown.
 }
 
+// HostLoad is the load that a host reports to other hosts.
+type HostLoad struct {
+	Link       float64 // Share of its link in use; 0 if its bandwidth is unknown.
+	CPU        float64 // Share of its processor cores in use; 0 if their number is unknown.
+	ExtraHosts int     // Narrow hosts that its directory names for its data centre because of the load; negative if it must not be followed.
+}
+
 // Fact is one decoded entry of the platform's store. At most one of the pointers is set, and none if the entry was removed,
 // has a Problem or is of no use to hosts.
 type Fact struct {
