--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,9 @@
 	// watch.
 	fallbackWindow = 2 * time.Second
 
+	// completionInterval is the shortest time between two listings that a host needs because entries came through one of an older build.
+	completionInterval = 10 * time.Second
+
 	// minRetryDelay and maxRetryDelay bound the backoff after failed calls. They are short because a drain must be in effect
 	// within 2.5 s, and bounded below because every call has a price.
 	minRetryDelay = 100 * time.Millisecond
@@ -85,7 +89,9 @@
 	fallbackUntil time.Time      // End of the pause due to any relaying host; used only after a failed call of this host.
 	lastFailure   time.Time      // When a call of this host last failed.
 	lastSnapshot  lastSnapshot
-	watching      bool // This host watches the platform itself. Used by the loop only.
+	partial       bool      // Known entries may lack fields, since they came through a host of an older build.
+	completedAt   time.Time // When this host last listed the entries, or asked for them, for that reason.
+	watching      bool      // This host watches the platform itself. Used by the loop only.
 }
 
 // New starts a follower. Call Stop to end it.
@@ -159,7 +165,7 @@
 // are dropped, and this host watches at once. Nothing is applied before the first listing.
 //
 // It reports whether the sender should be asked for a listing, because of a gap that this host cannot close by itself: its own
-// calls fail.
+// calls fail. It also does so if known entries may lack fields and the sender's do not.
 func (f *Follower) ApplyRelayed(now time.Time, fromWatcher bool, c steer.Changes) (asksListing bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -184,12 +190,14 @@
 		f.relayedUntil = now.Add(relayTTL + f.staggerDelay())
 	}
 	f.fallbackUntil = now.Add(relayTTL)
+	f.partial = f.partial || c.Partial && slices.ContainsFunc(c.Facts, func(fact steer.Fact) bool { return fact.Host != nil })
 	if c.Listing {
 		f.applyListing(now, c.Facts, c.To)
+		f.partial = c.Partial
 		return false
 	}
 	f.applyChanges(now, c.Facts, c.To)
-	return false
+	return fromWatcher && !c.Partial && f.completionDue(now)
 }
 
 // Listing returns all that this host knows, for a host that asked for it. It reports false if this host may not be up to date.
@@ -202,10 +210,29 @@
 	return steer.Changes{
 		To:      f.position,
 		Listing: true,
+		Partial: f.partial,
 		Facts:   f.table.known(),
 	}, true
 }
 
+// needsCompletion reports whether this host, which is about to watch the platform for others, should list the entries first because
+// those that it knows may lack fields.
+func (f *Follower) needsCompletion(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completionDue(now)
+}
+
+// completionDue reports whether known entries may lack fields. It does so once in completionInterval, since a listing may fail. The caller
+// holds mu.
+func (f *Follower) completionDue(now time.Time) bool {
+	if !f.partial || now.Sub(f.completedAt) < completionInterval {
+		return false
+	}
+	f.completedAt = now
+	return true
+}
+
 // awaitRelay pauses the watch of a host that has just started, if another host of its data centre, one with a lower id,
 // watches on its behalf. Otherwise all hosts of a fleet that starts at once would watch. The caller holds mu.
 func (f *Follower) awaitRelay(now time.Time) {
@@ -286,6 +313,8 @@
 		case !until.IsZero():
 			f.setWatching(false)
 			f.pauseWatch(ctx, until.Sub(now))
+		case f.needsCompletion(now):
+			f.guardStep("listing", &err, func() { err = f.list(ctx) })
 		default:
 			wait := watchWait
 			if f.setWatching(true) {
@@ -383,6 +412,7 @@
 	if position.Era < before.Era {
 		return steer.Changes{}, false, fmt.Errorf("listing of era %d, known is %d: %w", position.Era, before.Era, steer.ErrDown)
 	}
+	f.partial = false
 	changed := f.applyListing(now, facts, position)
 	f.awaitRelay(now)
 	if before.Era != f.position.Era {
--- a/internal/edge/belief/snap.go
+++ b/internal/edge/belief/snap.go
@@ -41,11 +41,16 @@
 // snapshot holds the entries of the platform at one revision.
 type snapshot struct {
 	Format   int          `cbor:"format"`
+	Fields   int          `cbor:"fields,omitempty"` // snapshotFields of the writer; 0 if the entries may lack fields.
 	Era      uint64       `cbor:"era,omitempty"`
 	Revision uint64       `cbor:"revision"`
 	Facts    []steer.Fact `cbor:"facts"`
 }
 
+// snapshotFields is raised when entries get new fields. A host of an older build drops these from the snapshots that it writes, so such
+// snapshots are not used: the fields would stay unknown until the entries are written again.
+const snapshotFields = 1
+
 func (s *snapshot) encode() ([]byte, error) {
 	var buffer bytes.Buffer
 	compressor, err := flate.NewWriter(&buffer, flate.BestSpeed)
@@ -157,6 +162,9 @@
 		return nil
 	}
 	s := f.table.snapshot(now, f.position)
+	if s != nil && !f.partial {
+		s.Fields = snapshotFields
+	}
 	if s != nil {
 		f.lastSnapshot = lastSnapshot{
 			at:          now,
@@ -180,6 +188,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if s.Fields < snapshotFields {
+		return nil, nil, errPartial
+	}
 	facts, position, err := f.catalog.Changes(ctx, steer.Position{
 		Era:      s.Era,
 		Revision: s.Revision,
@@ -203,6 +214,9 @@
 var (
 	errNoSnapshot = errors.New("platform holds no snapshot")
 
+	// errPartial means that a host of an older build wrote the snapshot.
+	errPartial = errors.New("entries of the snapshot lack fields")
+
 	// errNoChanges means that not even the write of the snapshot is among the changes, so others may be missing as well.
 	errNoChanges = errors.New("no changes since the snapshot")
 )
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -70,7 +70,7 @@
 	var problems []error
 	for _, fact := range facts {
 		present[fact.Key] = true
-		if known, ok := t.facts[fact.Key]; !ok || known.Revision < fact.Revision {
+		if known, ok := t.facts[fact.Key]; !ok || known.Revision < fact.Revision || completes(known, fact) {
 			changed = append(changed, fact)
 		}
 		problems = append(problems, t.apply(now, fact)...)
@@ -117,7 +117,7 @@
 			problems = append(problems, fmt.Errorf("entry %q: %w: %v\n%s", fact.Key, errPanic, value, debug.Stack()))
 		}
 	}()
-	if known, ok := t.facts[fact.Key]; ok && known.Revision >= fact.Revision {
+	if known, ok := t.facts[fact.Key]; ok && known.Revision >= fact.Revision && !completes(known, fact) {
 		return nil
 	}
 	if t.removals[fact.Key].revision >= fact.Revision && fact.Revision != 0 {
@@ -150,6 +150,12 @@
 	return []error{problem}
 }
 
+// completes reports whether an entry is the known one with fields that this lacks, because it came through a host of an older build.
+func completes(known, fact steer.Fact) bool {
+	hasCapacity := func(h *steer.HostEntry) bool { return h.LinkMbps != 0 || h.CPUCores != 0 }
+	return known.Revision == fact.Revision && known.Host != nil && fact.Host != nil && !hasCapacity(known.Host) && hasCapacity(fact.Host)
+}
+
 // put makes an entry known, except for its plan, which the index keeps.
 func (t *table) put(now time.Time, fact steer.Fact) {
 	delete(t.lapseDeadlines, fact.Key)
--- a/internal/peer/gossip/load_test.go
+++ b/internal/peer/gossip/load_test.go
@@ -118,3 +118,23 @@
 	t.Logf("%d bytes", size)
 	assert.Assert(t, size <= 32)
 }
+
+// Guards against entries that a host of an older build relays, without the capacity of hosts, and that are taken for complete ones.
+func TestEntriesOfOlderBuildsAreMarked(t *testing.T) {
+	var got []bool
+	g := gossip.New(gossip.Config{
+		Host:         "b",
+		DataCentre:   "golfo-a",
+		Usage:        func(time.Time) share.Report { return nil },
+		Sum:          func([]string) (share.Report, int) { return nil, 1 },
+		OnPeerStatus: func(time.Time, gossip.PeerStatus) {},
+		Changes:      func(_ time.Time, _ string, c steer.Changes) { got = append(got, c.Partial) },
+	})
+	t.Cleanup(g.Stop)
+	for _, entries := range []map[string]any{{"from": 1, "to": 2}, {"from": 1, "to": 2, "fields": 1}, {"from": 1, "to": 2, "fields": 2, "newer": 1}} {
+		data, err := cbor.Marshal(map[string]any{"host": "a", "data-centre": "golfo-a", "entries": entries})
+		assert.NilError(t, err)
+		assert.NilError(t, g.Receive(append([]byte{0}, data...)))
+	}
+	assert.DeepEqual(t, got, []bool{true, false, false})
+}
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -106,9 +106,13 @@
 	To      uint64     `cbor:"to"`
 	Era     uint64     `cbor:"era,omitempty"`
 	Listing bool       `cbor:"listing,omitempty"`
+	Fields  int        `cbor:"fields,omitempty"` // entryFields of the sender; 0 if the entries may lack fields.
 	Facts   []wireFact `cbor:"facts,omitempty"`
 }
 
+// entryFields is raised when entries get new fields. A host of an older build drops these from the entries that it passes on.
+const entryFields = 1
+
 // wireFact is a steer.Fact whose problem is encoded as text.
 type wireFact struct {
 	Fact    steer.Fact `cbor:"fact"`
@@ -383,6 +387,9 @@
 		Era:     c.To.Era,
 		Listing: c.Listing,
 	}
+	if !c.Partial {
+		e.Fields = entryFields
+	}
 	for _, f := range c.Facts {
 		w := wireFact{
 			Fact: f,
@@ -403,6 +410,7 @@
 			Revision: e.To,
 		},
 		Listing: e.Listing,
+		Partial: e.Fields < entryFields,
 	}
 	for _, w := range e.Facts {
 		f := w.Fact
--- a/platform.go
+++ b/platform.go
@@ -179,6 +179,7 @@
 	From    uint64   // Revision after which the changes start.
 	To      Position // Position from which the next changes continue.
 	Listing bool     // Facts holds all entries, whatever the revision before.
+	Partial bool     // Entries may lack fields that this build knows, since they came through a host of an older build.
 	Facts   []Fact
 }
 
