--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -39,6 +39,7 @@
 	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
+	Load              *hostLoad          `cbor:"load,omitempty"`          // Of the sender. Older builds neither send nor read it.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 	PeerAddress       string             `cbor:"peer-address,omitempty"` // Of the sender; empty if it is unknown.
 	ListingFrom       string             `cbor:"listing-from,omitempty"` // Host that is asked for all entries.
@@ -76,12 +77,27 @@
 	Age      int64 // Milliseconds.
 }
 
+// hostLoad is the encoding of a steer.HostLoad.
+type hostLoad struct {
+	Link       int `cbor:"link,omitempty"` // In units of 1/loadScale.
+	CPU        int `cbor:"cpu,omitempty"`  // In units of 1/loadScale.
+	ExtraHosts int `cbor:"extra,omitempty"`
+}
+
+// loadScale is the number of units on the wire for a link or processor that is in use all the time, and maxLoad bounds what is sent and
+// accepted.
+const (
+	loadScale = 1000
+	maxLoad   = 10 * loadScale
+)
+
 // remoteDataCentre is the report of another data centre that the sender passes on.
 type remoteDataCentre struct {
 	DataCentre string   `cbor:"data-centre"`
 	HostCount  int      `cbor:"hosts"`
-	Usage      []uint32 `cbor:"use"` // In the order of Customers in the message.
-	Age        int64    `cbor:"age"` // Milliseconds since the sender received it.
+	Usage      []uint32 `cbor:"use"`             // In the order of Customers in the message.
+	Age        int64    `cbor:"age"`             // Milliseconds since the sender received it.
+	ExtraHosts *int     `cbor:"extra,omitempty"` // As in hostLoad; nil if it is unknown.
 }
 
 // entryChanges is the encoding of steer.Changes.
@@ -90,9 +106,13 @@
 	To      uint64     `cbor:"to"`
 	Era     uint64     `cbor:"era,omitempty"`
 	Listing bool       `cbor:"listing,omitempty"`
+	Fields  int        `cbor:"fields,omitempty"` // entryFields of the sender; 0 if the entries may lack fields.
 	Facts   []wireFact `cbor:"facts,omitempty"`
 }
 
+// entryFields is raised when entries get new fields. A host of an older build drops these from the entries that it passes on.
+const entryFields = 1
+
 // wireFact is a steer.Fact whose problem is encoded as text.
 type wireFact struct {
 	Fact    steer.Fact `cbor:"fact"`
@@ -313,6 +333,24 @@
 	return out
 }
 
+func toWireLoad(l steer.HostLoad) *hostLoad {
+	scaled := func(x float64) int { return int(math.Round(min(max(x*loadScale, 0), maxLoad))) }
+	return &hostLoad{
+		Link:       scaled(l.Link),
+		CPU:        scaled(l.CPU),
+		ExtraHosts: l.ExtraHosts,
+	}
+}
+
+func (l *hostLoad) toLoad() steer.HostLoad {
+	share := func(n int) float64 { return float64(min(max(n, 0), maxLoad)) / loadScale }
+	return steer.HostLoad{
+		Link:       share(l.Link),
+		CPU:        share(l.CPU),
+		ExtraHosts: l.ExtraHosts,
+	}
+}
+
 // addressText returns an address as text, empty if it is not valid.
 func addressText(address netip.AddrPort) string {
 	if !address.IsValid() {
@@ -349,6 +387,9 @@
 		Era:     c.To.Era,
 		Listing: c.Listing,
 	}
+	if !c.Partial {
+		e.Fields = entryFields
+	}
 	for _, f := range c.Facts {
 		w := wireFact{
 			Fact: f,
@@ -369,6 +410,7 @@
 			Revision: e.To,
 		},
 		Listing: e.Listing,
+		Partial: e.Fields < entryFields,
 	}
 	for _, w := range e.Facts {
 		f := w.Fact
