--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -163,3 +164,44 @@
 	assert.Equal(t, metrics.GetOrRegisterGauge("entry-named", registry).Value(), int64(2))
 	assert.Equal(t, metrics.GetOrRegisterGauge("entry-known", registry).Value(), int64(5))
 }
+
+// firstNearest returns the addresses that the directory gave before hosts were selected: the first hosts of the data centre, else of the
+// region, else any.
+func firstNearest(hosts []*steer.HostEntry, region, dataCentre string) []netip.AddrPort {
+	addresses := make([][]netip.AddrPort, 3)
+	for _, h := range hosts {
+		for i, matches := range []bool{h.DataCentre == dataCentre, h.Region == region, true} {
+			if matches && len(addresses[i]) < 64 {
+				addresses[i] = append(addresses[i], h.Address)
+			}
+		}
+	}
+	return slices.MaxFunc(addresses, func(a, b []netip.AddrPort) int { return min(len(a), 1) - min(len(b), 1) })
+}
+
+// Guards against answers that differ from those without the feature while it is off, or while links are even or unknown.
+func TestAnswersWithoutSelection(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	for range 300 {
+		mode, links := steer.ModeOff, []float64{10, 200, 0}
+		if random.IntN(2) == 0 {
+			mode, links = steer.ModeAuto, [][]float64{{200, 51}, {0}, {0, 10}}[random.IntN(3)]
+		}
+		var hosts []*steer.HostEntry
+		for _, dataCentre := range []string{"a", "b", "c"} {
+			for range random.IntN(2) * random.IntN(80) {
+				hosts = append(hosts, newHosts(dataCentre, dataCentre[:1], links[random.IntN(len(links))])...)
+			}
+		}
+		for i, h := range hosts {
+			h.ID, h.Address = fmt.Sprint(i), netip.AddrPortFrom(h.Address.Addr(), uint16(i+1))
+			h.CPUCores = float64(random.IntN(3))
+			h.Region = []string{"r", "r", "other"}[h.DataCentre[0]-'a']
+		}
+		random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+		got := newSelector(mode).Addresses(start, hosts, largePlan, "r", "a")
+		assert.Assert(t, slices.Equal(got, firstNearest(hosts, "r", "a")), "%v: %v", mode, got)
+	}
+}
