Hold the ports of closed listeners in tests

Cause: fixtures closed a listener and relied on its port refusing connections. The kernel may give the port to another process at once, so that the test reaches somebody else, and somebody else's test gets a connection that it does not expect.

Change: ports.Listen returns a listener whose port stays bound by a socket that does not listen, until the end of the test. Used by relay.TestRefusedDialIsNotRun, back.TestNoConnectionMeansNotRun, links.startUnreachable and the store that kvhttp.TestUnknownOutcome closes; and for hosts that a test of relay or links stops. Assertions are unchanged.

--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -18,6 +18,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/back"
+	"monsoonhub.example/steer/internal/plat/ports"
 )
 
 var names = steer.HeaderNames{
@@ -412,8 +413,10 @@
 // Guards against a request without a connection that is reported as one that may have run.
 func TestNoConnectionMeansNotRun(t *testing.T) {
 	s := newScriptedTarget(t, func(int, int) string { return "" })
+	l := ports.Listen(t)
 	c := newCall(s, "1")
-	assert.NilError(t, s.listener.Close())
+	c.Endpoint.Address = netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
 	r := newPool(t).Do(context.Background(), c)
 	assert.Equal(t, r.Verdict, steer.NotRun)
 	assert.Assert(t, !r.Sent && r.Err != nil)
--- a/internal/peer/links/mesh_test.go
+++ b/internal/peer/links/mesh_test.go
@@ -17,6 +17,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/peer/links"
+	"monsoonhub.example/steer/internal/plat/ports"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -32,11 +33,10 @@
 	stopping atomic.Bool
 }
 
+// listen listens at a port that refuses connections once the listener is closed.
 func listen(t testing.TB) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	return l
+	return ports.Listen(t)
 }
 
 func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
--- a/internal/plat/kvhttp/client_test.go
+++ b/internal/plat/kvhttp/client_test.go
@@ -16,6 +16,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/plat/kvhttp"
 	"monsoonhub.example/steer/internal/plat/kvmem"
+	"monsoonhub.example/steer/internal/plat/ports"
 )
 
 const short = 300 * time.Millisecond
@@ -28,7 +29,10 @@
 	s := kvmem.New(kvmem.Config{
 		Seed: 1,
 	})
-	server := httptest.NewServer(kvhttp.Handler(s))
+	server := httptest.NewUnstartedServer(kvhttp.Handler(s))
+	assert.NilError(t, server.Listener.Close())
+	server.Listener = ports.Listen(t) // Refuses connections once the server is closed.
+	server.Start()
 	c := newClient(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), timeout)
 	t.Cleanup(func() {
 		c.Stop()
--- a/internal/serve/relay/fault_test.go
+++ b/internal/serve/relay/fault_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/plat/ports"
 	"monsoonhub.example/steer/internal/plat/target"
 	"monsoonhub.example/steer/internal/serve/relay"
 )
@@ -166,8 +167,7 @@
 
 // A refused connection to a target proves that nothing ran.
 func TestRefusedDialIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := ports.Listen(t)
 	spec := steer.Target{
 		ID:         "t1",
 		DataCentre: "a1",
--- a/internal/serve/relay/fleet_test.go
+++ b/internal/serve/relay/fleet_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/plat/ports"
 	"monsoonhub.example/steer/internal/plat/target"
 	"monsoonhub.example/steer/internal/serve/keys"
 	"monsoonhub.example/steer/internal/serve/relay"
@@ -254,9 +255,9 @@
 	return h
 }
 
+// listen serves at a port that refuses connections once the host has stopped.
 func (h *host) listen(b relay.Bounds, handler http.Handler) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(h.f.t, err)
+	l := ports.Listen(h.f.t)
 	s := b.Server(handler)
 	h.servers = append(h.servers, s)
 	go func() { _ = s.Serve(b.Listener(l)) }()
