Ask the admission control before a target is chosen

Cause: package admit decides nothing until the path of a request asks it and tells it what requests found.

Change: after the quota and before the placer, the handler asks for a decision. A refusal is not-run with reason no-capacity and status 503, is given back to the customer's quota, and its log line has the admission level and the customer's share. The placer's refusals and the outcomes of attempts are passed on. The time that a returning caller has lost comes from the retry detector, which returned only whether there is any. Without a controller, or with the feature off, no call is made.

RegionOf in the configuration can name the region in which a request runs. Without it, that is the only region allowed to the request, or that of this host.

--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -82,6 +82,9 @@
 	if refusal != nil {
 		keyvals = append(keyvals, "reason", refusal.Reason, "verdict", refusal.Verdict, "retry-after", refusal.RetryAfter)
 	}
+	if j.admission.Refused {
+		keyvals = append(keyvals, "level", j.admission.Level, "share", j.admission.Share)
+	}
 	rejected := refusal != nil && refusal.Reason == steer.ReasonDeadly
 	if rejected || slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.broke }) {
 		keyvals = append(keyvals, "request-key", j.key())
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/admit"
 	"monsoonhub.example/steer/internal/edge/back"
 	"monsoonhub.example/steer/internal/edge/belief"
 	"monsoonhub.example/steer/internal/edge/front"
@@ -48,7 +49,10 @@
 	Placer      *place.Placer
 	Quotas      *share.Table
 	Targets     *back.Pool
-	Poison      *poison.Table // Nil means that no request is rejected for the targets that it crashed.
+	Poison      *poison.Table                               // Nil means that no request is rejected for the targets that it crashed.
+	Admission   *admit.Controller                           // Nil means that every request is admitted while there is not enough capacity.
+	Region      string                                      // Region of this host.
+	RegionOf    func(now time.Time, r place.Request) string // Returns the region in which a request runs. Nil: that of this host, if allowed.
 	RetryBudget RetryBudgetConfig
 	Synced      <-chan struct{}  // Closed once the host has a plan and knows the targets. Nil means that it has them.
 	StopsAt     func() time.Time // Returns when a stopping host cuts its requests; zero if it is not stopping. Nil means never.
@@ -78,6 +82,12 @@
 	if c.Poison == nil {
 		c.Poison = poison.New(poison.Config{})
 	}
+	if c.Admission == nil {
+		c.Admission = admit.New(admit.Config{})
+	}
+	if c.RegionOf == nil {
+		c.RegionOf = func(_ time.Time, r place.Request) string { return c.defaultRegion(r) }
+	}
 	if c.StopsAt == nil {
 		c.StopsAt = func() time.Time { return time.Time{} }
 	}
@@ -108,13 +118,19 @@
 	priority       int
 	version        uint64
 	deadline       time.Time
-	limitedByRoute bool // The route's timeout ends before the caller's deadline.
-	isRetry        bool // The caller seems to retry after a refusal.
+	limitedByRoute bool          // The route's timeout ends before the caller's deadline.
+	isRetry        bool          // The caller seems to retry after a refusal.
+	timeLost       time.Duration // Time that such a caller has spent.
+	fallbackHash   uint64        // Used in the next attempt if there is no affinity key.
 	header         http.Header
 	attempts       []attempt
 	triedTargets   []string // Ids of targets.
 	sent           int      // Attempts that may have reached a target.
 
+	usesAdmission bool   // Admission control is in use for the service.
+	region        string // Region in which the request runs, for the admission control.
+	admission     admit.Decision
+
 	staleConn bool // The last attempt failed on a connection that had been idle.
 
 	requestKey poison.Key // 0 until it is needed.
@@ -198,6 +214,8 @@
 	j := &job{
 		request: r,
 		id:      r.Header.Get(h.config.Headers.RequestID),
+
+		fallbackHash: rand.Uint64(),
 	}
 	view := h.config.View()
 	if view.Index == nil {
@@ -221,7 +239,8 @@
 		}
 	}
 	j.deadline, j.limitedByRoute = h.deadline(r, j.route)
-	j.isRetry = h.retryDetector.isRetry(j.route.Name, h.callerTimeout(r))
+	j.timeLost = h.retryDetector.timeLost(j.route.Name, h.callerTimeout(r))
+	j.isRetry = j.timeLost > 0
 	if ctx.Err() != nil {
 		return j, newRefusal(steer.ReasonCallerLeft, http.StatusServiceUnavailable, 0)
 	}
@@ -246,10 +265,21 @@
 	if j.route.Affinity {
 		j.affinityKey = r.Header.Get(h.config.Headers.Affinity)
 	}
+	if refusal := h.checkCapacity(time.Now(), j); refusal != nil {
+		h.refundQuota(j)
+		return j, refusal
+	}
 	j.header = h.forwardedHeader(r.Header, j.customer)
 	return j, nil
 }
 
+// refundQuota gives a request that no target can have run back to the customer's quota.
+func (h *Handler) refundQuota(j *job) {
+	if j.customer != nil {
+		h.config.Quotas.Refund(time.Now(), j.customer.Name)
+	}
+}
+
 // checkDeadly returns a refusal if equal requests have crashed several targets.
 func (h *Handler) checkDeadly(j *job) *steer.Refusal {
 	if !h.config.Poison.InUse() {
--- a/internal/edge/pass/retrydetector.go
+++ b/internal/edge/pass/retrydetector.go
@@ -31,8 +31,9 @@
 	}
 }
 
-// isRetry records the time that a caller has left, and reports whether it seems to retry after a refusal.
-func (d *retryDetector) isRetry(route string, timeLeft time.Duration) bool {
+// timeLost records the time that a caller has left, and returns the time that it seems to have spent on attempts that were
+// refused; 0 for a caller that does not seem to retry.
+func (d *retryDetector) timeLost(route string, timeLeft time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	longest, ok := d.longestTimes[route]
@@ -45,5 +46,8 @@
 	default:
 		d.longestTimes[route] = longest - time.Duration(longestDecay*float64(longest-timeLeft))
 	}
-	return ok && longest-timeLeft >= minTimeLost
+	if lost := longest - timeLeft; ok && lost >= minTimeLost {
+		return lost
+	}
+	return 0
 }
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -72,19 +72,31 @@
 // pickTarget picks the target of the next attempt.
 func (h *Handler) pickTarget(j *job) (place.Choice, *steer.Refusal) {
 	now := time.Now()
-	timeLeft := j.deadline.Sub(now)
-	if timeLeft < minTimeLeft {
+	criteria := h.criteria(now, j)
+	if criteria.TimeLeft < minTimeLeft {
 		return place.Choice{}, newRefusal(steer.ReasonDeadline, http.StatusServiceUnavailable, minRetryAfter)
 	}
+	j.fallbackHash = rand.Uint64() // A further attempt goes elsewhere.
+	choice, refusal := h.config.Placer.Pick(now, criteria)
+	h.observePick(now, j, choice, refusal)
+	if refusal != nil {
+		refusal.Status = http.StatusServiceUnavailable
+		refusal.RetryAfter = addJitter(refusal.RetryAfter)
+	}
+	return choice, refusal
+}
+
+// criteria describes a request to the placer.
+func (h *Handler) criteria(now time.Time, j *job) place.Request {
 	criteria := place.Request{
 		Service:      j.service,
 		Class:        j.route.Name,
 		Objective:    j.route.Objective,
-		FallbackHash: rand.Uint64(),
+		FallbackHash: j.fallbackHash,
 		Regions:      j.route.Regions,
 		Priority:     j.priority,
 		Tried:        j.triedTargets,
-		TimeLeft:     timeLeft,
+		TimeLeft:     j.deadline.Sub(now),
 	}
 	if j.customer != nil {
 		criteria.AlsoRegions = j.customer.Regions
@@ -92,12 +104,7 @@
 	if j.affinityKey != "" {
 		criteria.Key = j.route.Name + "/" + j.affinityKey
 	}
-	choice, refusal := h.config.Placer.Pick(now, criteria)
-	if refusal != nil {
-		refusal.Status = http.StatusServiceUnavailable
-		refusal.RetryAfter = addJitter(refusal.RetryAfter)
-	}
-	return choice, refusal
+	return criteria
 }
 
 // attempt sends the request to one target and reports the outcome to the placer.
@@ -144,6 +151,7 @@
 		Inconclusive:   ctx.Err() != nil || j.staleConn || hostExhausted,
 	}
 	h.config.Placer.Done(now, choice, outcome)
+	h.observeResult(now, j, choice, &result, outcome)
 	if !j.staleConn {
 		j.triedTargets = append(j.triedTargets, choice.Target.ID)
 	}
@@ -206,9 +214,7 @@
 			refusal.Status = http.StatusServiceUnavailable
 			refusal.RetryAfter = minRetryAfter
 		}
-		if j.customer != nil {
-			h.config.Quotas.Refund(time.Now(), j.customer.Name)
-		}
+		h.refundQuota(j)
 		return front.Response{}, refusal
 	}
 	refusal.Verdict = steer.MayHaveRun
