Exchange admission reports in a data centre

Cause: a host sees one in 83 requests of a customer and too few outcomes to know how short capacity is.

Change: messages between hosts of a data centre carry two optional fields, the sender's reports and, from leaders to the others, the sum of all hosts. A report has the pressure, the rates by priority and, once a second, the 48 customers with the largest demand by hash. Older builds ignore the fields. Reports count for 2 s. Package node creates the controller from the setting admission and connects it.

--- a/internal/edge/admit/admit_test.go
+++ b/internal/edge/admit/admit_test.go
@@ -169,6 +169,7 @@
 func pressed(t *testing.T, random func() float64) (*admit.Controller, time.Time) {
 	t.Helper()
 	c := admit.New(admit.Config{
+		Mode:   steer.ModeOn,
 		Random: random,
 	})
 	now := time.Unix(1000, 0)
--- a/internal/edge/admit/load_test.go
+++ b/internal/edge/admit/load_test.go
@@ -124,6 +124,7 @@
 
 func (f *fleet) restart(host int) {
 	f.hosts[host] = admit.New(admit.Config{
+		Mode:   steer.ModeOn,
 		Random: f.random.Float64,
 	})
 }
--- a/internal/edge/admit/peers.go
+++ b/internal/edge/admit/peers.go
@@ -60,6 +60,9 @@
 		}
 	}
 	for _, r := range reports[:min(len(reports), maxReports)] {
+		if !c.InUse(r.Service) {
+			continue
+		}
 		p := c.pool(now, poolKey{service: r.Service, region: r.Region})
 		old := p.peers[peer]
 		if old == nil {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/admit"
 	"monsoonhub.example/steer/internal/edge/back"
 	"monsoonhub.example/steer/internal/edge/belief"
 	"monsoonhub.example/steer/internal/edge/conns"
@@ -95,6 +96,7 @@
 	conns      *conns.Budget
 	targets    *back.Pool
 	poison     *poison.Table
+	admission  *admit.Controller
 	recorder   *poison.Recorder
 	server     *front.Server
 	auxServers []*http.Server
@@ -211,6 +213,11 @@
 		Logger:  c.Logger,
 		Metrics: c.Metrics,
 	})
+	n.admission = admit.New(admit.Config{
+		Mode:       s.Features().Admission,
+		Deployment: c.Deployment,
+		Metrics:    c.Metrics,
+	})
 	n.follower = belief.New(belief.Config{
 		Catalog:         c.Catalog,
 		Host:            s.HostID,
@@ -235,6 +242,8 @@
 		OnLimits:     n.placer.MergeLimitNotes,
 		Crashes:      n.poison.Reports,
 		OnCrashes:    n.poison.Merge,
+		Admission:    n.admission.Report,
+		OnAdmission:  n.admission.Merge,
 		OnPeerStatus: n.handlePeerStatus,
 		Changes:      n.handleChanges,
 		OnAsked:      n.answerWithListing,
@@ -268,12 +277,14 @@
 		n.watchViews(ctx)
 	}()
 	handler := pass.New(pass.Config{
-		Headers: c.Headers,
-		View:    n.follower.View,
-		Placer:  n.placer,
-		Quotas:  n.quotas,
-		Targets: n.targets,
-		Poison:  n.poison,
+		Headers:   c.Headers,
+		View:      n.follower.View,
+		Placer:    n.placer,
+		Quotas:    n.quotas,
+		Targets:   n.targets,
+		Poison:    n.poison,
+		Admission: n.admission,
+		Region:    s.Region,
 		RetryBudget: pass.RetryBudgetConfig{
 			Ratio: s.RetryRatio,
 			Slack: s.RetrySlack,
--- a/internal/peer/gossip/export_test.go
+++ b/internal/peer/gossip/export_test.go
@@ -1,6 +1,18 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"monsoonhub.example/steer"
+)
+
+// AdmissionSize returns the bytes of a message with reports on admission and nothing else.
+func AdmissionSize(reports []steer.AdmissionReport) (int, error) {
+	data, err := encode(&message{
+		AdmissionSum: toWireAdmission(reports),
+	})
+	return len(data), err
+}
 
 // Receive handles the bytes of one message without the guard against panics.
 func (g *Gossiper) Receive(data []byte) error {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -40,27 +40,29 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Changes and
-// OnAsked are optional.
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Admission,
+// OnAdmission, Changes and OnAsked are optional.
 type Config struct {
 	Host         string
 	DataCentre   string
 	Region       string
-	PeerAddress  netip.AddrPort                                       // Listener of this host at which Handler is mounted. Optional.
-	Usage        func(now time.Time) share.Report                     // Returns the usage of this host. Called once a round.
-	Sum          func(peers []string) (share.Report, int)             // Returns the usage and number of this host and the peers.
-	Hint         func(now time.Time) (Hint, bool)                     // Returns the hint for cut-off hosts; false if none.
-	Notes        func(now time.Time) []steer.TargetObservation        // Returns own observations since the last round.
-	OnNotes      func(now time.Time, notes []steer.TargetObservation) // Called with observations of other hosts of the region.
-	Limits       func(now time.Time) []steer.LimitObservation         // Returns own news of limits since the last round.
-	OnLimits     func(now time.Time, limits []steer.LimitObservation) // Called with limits that other hosts of any region saw.
-	Crashes      func(now time.Time) []steer.CrashReport              // Returns the crashes to be reported in this round.
-	OnCrashes    func(now time.Time, crashes []steer.CrashReport)     // Called with crashes that another host reported.
-	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
-	Changes      func(now time.Time, from string, c steer.Changes)    // Called with changes of entries that another host relayed.
-	OnAsked      func(host string)                                    // Called when another host asks this one for all entries.
-	Logger       log.Logger                                           // Nil means no logging.
-	Metrics      metrics.Registry                                     // Nil means a private registry.
+	PeerAddress  netip.AddrPort                                                    // Listener of this host at which Handler is mounted. Optional.
+	Usage        func(now time.Time) share.Report                                  // Returns the usage of this host. Called once a round.
+	Sum          func(peers []string) (share.Report, int)                          // Returns the usage and number of this host and the peers.
+	Hint         func(now time.Time) (Hint, bool)                                  // Returns the hint for cut-off hosts; false if none.
+	Notes        func(now time.Time) []steer.TargetObservation                     // Returns own observations since the last round.
+	OnNotes      func(now time.Time, notes []steer.TargetObservation)              // Called with observations of other hosts of the region.
+	Limits       func(now time.Time) []steer.LimitObservation                      // Returns own news of limits since the last round.
+	OnLimits     func(now time.Time, limits []steer.LimitObservation)              // Called with limits that other hosts of any region saw.
+	Crashes      func(now time.Time) []steer.CrashReport                           // Returns the crashes to be reported in this round.
+	OnCrashes    func(now time.Time, crashes []steer.CrashReport)                  // Called with crashes that another host reported.
+	Admission    func(now time.Time) []steer.AdmissionReport                       // Returns the own reports on admission.
+	OnAdmission  func(now time.Time, peer string, reports []steer.AdmissionReport) // Called with those of a host or of the data centre.
+	OnPeerStatus func(now time.Time, peerStatus PeerStatus)                        // Called for each report of usage and hints.
+	Changes      func(now time.Time, from string, c steer.Changes)                 // Called with changes of entries that another host relayed.
+	OnAsked      func(host string)                                                 // Called when another host asks this one for all entries.
+	Logger       log.Logger                                                        // Nil means no logging.
+	Metrics      metrics.Registry                                                  // Nil means a private registry.
 }
 
 // PeerStatus is the report of another host or of a data centre.
@@ -105,6 +107,7 @@
 	wasLeader         bool                  // Value of isLeader that was last logged.
 	reports           map[string]report     // Last reports of hosts of the data centre, by id, while this host is a leader.
 	sentUsage         share.Report          // Usage that this host last sent to its leaders.
+	admission         admissionTable        // Reports on admission of hosts of the data centre.
 	remoteDataCentres map[string]*remoteSum // Sums of other data centres that were received since the last round, by name.
 	localNotes        []agedNote            // Notes of this data centre, to be sent to others of the region.
 	remoteNotes       []agedNote            // Notes of other data centres of the region, to be passed on in this one.
@@ -150,6 +153,12 @@
 	if c.OnCrashes == nil {
 		c.OnCrashes = func(time.Time, []steer.CrashReport) {}
 	}
+	if c.Admission == nil {
+		c.Admission = func(time.Time) []steer.AdmissionReport { return nil }
+	}
+	if c.OnAdmission == nil {
+		c.OnAdmission = func(time.Time, string, []steer.AdmissionReport) {}
+	}
 	if c.OnAsked == nil {
 		c.OnAsked = func(string) {}
 	}
@@ -173,6 +182,7 @@
 		cancel:            cancel,
 		hosts:             map[string]*host{},
 		reports:           map[string]report{},
+		admission:         admissionTable{},
 		remoteDataCentres: map[string]*remoteSum{},
 		localLimits:       limitTable{},
 		remoteLimits:      limitTable{},
--- a/internal/peer/gossip/leaders.go
+++ b/internal/peer/gossip/leaders.go
@@ -120,6 +120,7 @@
 		m.HostCount = hostCount + 1
 		m.setUsage(sum, remoteDataCentres)
 	}
+	m.Admission, m.AdmissionSum = nil, toWireAdmission(g.admission.sum(now, g.round%customerRounds == 0))
 	m.Limits = toWireLimits(g.localLimits.list(now))
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
 	for i, n := range g.localNotes {
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -26,6 +26,9 @@
 	if len(m.Crashes) > 0 {
 		g.config.OnCrashes(now, fromWireCrashes(m.Crashes))
 	}
+	if !remote {
+		g.handleAdmission(now, m)
+	}
 	g.recordMessage(now, m, notes, limits, remote)
 	peerStatus, ok := g.peerStatus(now, m, remote)
 	if !ok {
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -35,8 +35,9 @@
 	notes := g.config.Notes(now)
 	limits := g.config.Limits(now)
 	crashes := g.config.Crashes(now)
+	admission := g.config.Admission(now)
 	hint, platformReachable := g.config.Hint(now)
-	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, hint, platformReachable); othersUsage != nil {
+	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, admission, hint, platformReachable); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -49,7 +50,7 @@
 // returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
 	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
-	crashes []steer.CrashReport, hint Hint, platformReachable bool,
+	crashes []steer.CrashReport, admission []steer.AdmissionReport, hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -84,6 +85,8 @@
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
+	m.Admission = toWireAdmission(admission)
+	g.admission.add(now, g.config.Host, admission)
 	m.ListingFrom, g.listingFrom = g.listingFrom, ""
 	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -39,6 +39,8 @@
 	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
+	Admission         []admissionNote    `cbor:"admission,omitempty"`     // Reports of the sender on admission.
+	AdmissionSum      []admissionNote    `cbor:"admission-sum,omitempty"` // Those of all hosts of the data centre together.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 	PeerAddress       string             `cbor:"peer-address,omitempty"` // Of the sender; empty if it is unknown.
 	ListingFrom       string             `cbor:"listing-from,omitempty"` // Host that is asked for all entries.
