--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -27,6 +27,9 @@
 		g.config.OnCrashes(now, fromWireCrashes(m.Crashes))
 	}
 	g.handleLoads(now, m)
+	if !remote {
+		g.handleAdmission(now, m)
+	}
 	g.recordMessage(now, m, notes, limits, remote)
 	peerStatus, ok := g.peerStatus(now, m, remote)
 	if !ok {
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -29,18 +29,51 @@
 	}
 }
 
+// ownReports is what this host reports in one round.
+type ownReports struct {
+	usage     share.Report
+	notes     []steer.TargetObservation
+	limits    []steer.LimitObservation
+	crashes   []steer.CrashReport
+	admission []steer.AdmissionReport
+	load      *hostLoad // Nil if there is nothing to report.
+	hint      Hint
+
+	platformReachable bool // The hint is set.
+}
+
+// collectReports collects the reports of this host.
+func (g *Gossiper) collectReports(now time.Time) ownReports {
+	r := ownReports{
+		usage:     g.config.Usage(now),
+		notes:     g.config.Notes(now),
+		limits:    g.config.Limits(now),
+		crashes:   g.config.Crashes(now),
+		admission: g.config.Admission(now),
+	}
+	r.hint, r.platformReachable = g.config.Hint(now)
+	if load, ok := g.config.Load(now); ok {
+		r.load = toWireLoad(load)
+	}
+	return r
+}
+
+// addAge adds the time that has passed since the reports were collected.
+func (r *ownReports) addAge(passed time.Duration) {
+	for i := range r.notes {
+		r.notes[i].Age += passed
+	}
+	for i := range r.limits {
+		r.limits[i].Age += passed
+	}
+	for i := range r.crashes {
+		r.crashes[i].Age += passed
+	}
+}
+
 // runRound sends one round of messages. A leader reports the sum of the other hosts of its data centre to its own host.
 func (g *Gossiper) runRound(now time.Time) {
-	ownUsage := g.config.Usage(now)
-	notes := g.config.Notes(now)
-	limits := g.config.Limits(now)
-	crashes := g.config.Crashes(now)
-	hint, platformReachable := g.config.Hint(now)
-	var load *hostLoad
-	if l, ok := g.config.Load(now); ok {
-		load = toWireLoad(l)
-	}
-	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, load, hint, platformReachable); othersUsage != nil {
+	if othersUsage := g.sendRound(now, g.collectReports(now)); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -49,27 +82,16 @@
 	}
 }
 
-// sendRound sends one round of messages with the notes, limits and crashes that this host had at observedAt. If this host is a leader it
-// returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
-func (g *Gossiper) sendRound(
-	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
-	crashes []steer.CrashReport, load *hostLoad, hint Hint, platformReachable bool,
-) (othersUsage share.Report) {
+// sendRound sends one round of messages with the reports that this host had at collectedAt. If this host is a leader it returns the usage
+// of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
+func (g *Gossiper) sendRound(collectedAt time.Time, r ownReports) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leaving {
 		return nil
 	}
 	now := time.Now() // Read under the mutex, so that no recorded message is later and ages do not shrink.
-	for i := range notes {
-		notes[i].Age += now.Sub(observedAt)
-	}
-	for i := range limits {
-		limits[i].Age += now.Sub(observedAt)
-	}
-	for i := range crashes {
-		crashes[i].Age += now.Sub(observedAt)
-	}
+	r.addAge(now.Sub(collectedAt))
 	g.round++
 	g.updateLinks(now)
 	g.report(now)
@@ -77,22 +99,24 @@
 		Host:              g.config.Host,
 		DataCentre:        g.config.DataCentre,
 		PeerAddress:       addressText(g.config.PeerAddress),
-		PlatformReachable: platformReachable,
-		ReachableFor:      hint.ReachableFor.Milliseconds(),
-		Emptied:           hint.Emptied,
-		Cold:              coldMillis(hint.Cold),
-		Crashes:           toWireCrashes(crashes),
-		Load:              load,
-	}
-	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
-	g.localLimits.add(now, limits)
+		PlatformReachable: r.platformReachable,
+		ReachableFor:      r.hint.ReachableFor.Milliseconds(),
+		Emptied:           r.hint.Emptied,
+		Cold:              coldMillis(r.hint.Cold),
+		Crashes:           toWireCrashes(r.crashes),
+		Load:              r.load,
+	}
+	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, r.notes)
+	g.localLimits.add(now, r.limits)
 	if g.isSpeaker(now) {
-		g.sendToRemoteDataCentres(now, *m, ownUsage)
+		g.sendToRemoteDataCentres(now, *m, r.usage)
 	}
+	m.Admission = toWireAdmission(r.admission)
+	g.admission.add(now, g.config.Host, r.admission)
 	m.ListingFrom, g.listingFrom = g.listingFrom, ""
-	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
+	m.Notes, m.RemoteNotes = toWireNotes(r.notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
-	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
+	m.Limits, m.RemoteLimits = toWireLimits(r.limits), toWireLimits(g.remoteLimits.take(now))
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
@@ -104,10 +128,10 @@
 		})
 	}
 	clear(g.remoteDataCentres)
-	if !platformReachable && g.remote != nil && now.Sub(g.messageReceivedAt) < maxHintAge {
+	if !r.platformReachable && g.remote != nil && now.Sub(g.messageReceivedAt) < maxHintAge {
 		m.PlatformReachable, m.ReachableFor, m.Emptied, m.Cold = true, g.remote.ReachableFor, g.remote.Emptied, g.remote.Cold
 	}
-	g.sendToLocalHosts(now, *m, ownUsage, remoteDataCentres)
+	g.sendToLocalHosts(now, *m, r.usage, remoteDataCentres)
 	g.localNotes = g.localNotes[:0]
 	clear(g.localLimits)
 	if g.usesLeaders && g.isLeader {
