Exchange samples of the speed of targets between hosts

Cause: with 83 hosts, a host sends a target one request in eight seconds, which is too few to know its speed.

Change: gossip messages have the optional fields speeds and passed-speeds: samples by host, round and target, three bytes each, at most 64 targets in each field. They go the way of notes: hosts of a data centre to each other and leaders, data centres of a region to each other. A sample that counts twice looks like two, so a host takes each round of another host once, and two leaders that hear each other pass on the rounds of different hosts. Older builds ignore the fields. The node wires them to the placer, counts samples and slow targets in metrics, and logs targets that are found slow or recovered (8 lines at once, one a second, the rest counted).

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -178,6 +178,7 @@
 func (n *Node) start(c Config, p listenerSet) {
 	s := &n.settings
 	incarnation := uint64(time.Now().UnixNano())
+	speeds := newSpeedReporter(n.logger, c.Metrics)
 	n.placer = place.New(place.Config{
 		Host:       s.HostID,
 		DataCentre: s.DataCentre,
@@ -186,6 +187,7 @@
 		Ejection:   n.logEjection,
 
 		LimitChange: n.logLimitChange,
+		SpeedChange: speeds.change,
 		Features:    s.Features(),
 		Deployment:  c.Deployment,
 	})
@@ -233,6 +235,8 @@
 		OnNotes:      n.placer.MergeNotes,
 		Limits:       n.placer.LimitNotes,
 		OnLimits:     n.placer.MergeLimitNotes,
+		Speeds:       func(now time.Time) []steer.SpeedObservation { return speeds.notes(now, n.placer) },
+		OnSpeeds:     func(now time.Time, list []steer.SpeedObservation) { speeds.merge(now, n.placer, list) },
 		Crashes:      n.poison.Reports,
 		OnCrashes:    n.poison.Merge,
 		OnPeerStatus: n.handlePeerStatus,
--- a/internal/edge/place/speeds_test.go
+++ b/internal/edge/place/speeds_test.go
@@ -201,3 +201,30 @@
 		assert.Equal(t, len(f.changes) > 0, c.inUse, "%+v", c)
 	}
 }
+
+// BenchmarkPickAndDone chooses among 120 targets and records the outcome, without and with estimates of speed.
+func BenchmarkPickAndDone(b *testing.B) {
+	for _, mode := range []steer.Mode{steer.ModeOff, steer.ModeOn} {
+		b.Run(string(mode), func(b *testing.B) {
+			var list []*belief.RegisteredTarget
+			for i := range 120 {
+				list = append(list, newTarget(i, "golfo-a"))
+			}
+			p := place.New(place.Config{DataCentre: "golfo-a", Region: "golfo", Regions: regions, Features: steer.Features{TargetSpeed: mode}})
+			p.Update(start, newView(b, list...), place.Fleet{Hosts: 1})
+			now := start
+			outcome := place.Outcome{Latency: objectWork, Load: &steer.TargetLoad{Running: 2, Slots: slots, WorkFactor: 1}}
+			request := newRequest("")
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				request.FallbackHash += 0x9e3779b97f4a7c15
+				c, refusal := p.Pick(now, request)
+				assert.Assert(b, refusal == nil)
+				p.Done(now, c, outcome)
+				if now.UnixMilli()%250 == 0 {
+					p.SpeedNotes(now)
+				}
+			}
+		})
+	}
+}
--- a/internal/peer/gossip/export_test.go
+++ b/internal/peer/gossip/export_test.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"monsoonhub.example/steer"
+)
 
 // Receive handles the bytes of one message without the guard against panics.
 func (g *Gossiper) Receive(data []byte) error {
@@ -24,3 +28,11 @@
 	}
 	return n
 }
+
+// EncodeSpeeds returns a message with the observations of one host.
+func EncodeSpeeds(host string, now time.Time, list []steer.SpeedObservation) ([]byte, error) {
+	return encode(&message{
+		Host:   host,
+		Speeds: []hostSpeeds{newHostSpeeds(host, now, list)},
+	})
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -40,8 +40,8 @@
 	maxHintAge = time.Second
 )
 
-// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Crashes, OnCrashes, Changes and
-// OnAsked are optional.
+// Config configures a Gossiper. The functions Hint, Notes, OnNotes, Limits, OnLimits, Speeds, OnSpeeds, Crashes, OnCrashes,
+// Changes and OnAsked are optional.
 type Config struct {
 	Host         string
 	DataCentre   string
@@ -54,6 +54,8 @@
 	OnNotes      func(now time.Time, notes []steer.TargetObservation) // Called with observations of other hosts of the region.
 	Limits       func(now time.Time) []steer.LimitObservation         // Returns own news of limits since the last round.
 	OnLimits     func(now time.Time, limits []steer.LimitObservation) // Called with limits that other hosts of any region saw.
+	Speeds       func(now time.Time) []steer.SpeedObservation         // Returns own samples of targets that others need.
+	OnSpeeds     func(now time.Time, list []steer.SpeedObservation)   // Called with samples of other hosts of the region, once each.
 	Crashes      func(now time.Time) []steer.CrashReport              // Returns the crashes to be reported in this round.
 	OnCrashes    func(now time.Time, crashes []steer.CrashReport)     // Called with crashes that another host reported.
 	OnPeerStatus func(now time.Time, peerStatus PeerStatus)           // Called for each report of usage and hints.
@@ -110,6 +112,9 @@
 	remoteNotes       []agedNote            // Notes of other data centres of the region, to be passed on in this one.
 	localLimits       limitTable            // Limits that hosts of this data centre saw, to be sent to the others.
 	remoteLimits      limitTable            // Limits that other data centres sent, to be passed on in this one.
+	localSpeeds       []agedSpeeds          // Speeds that hosts of this data centre saw, to be sent to others of the region.
+	remoteSpeeds      []agedSpeeds          // Those of other data centres of the region, to be passed on in this one.
+	speedRounds       map[string]int64      // Last round of which speeds were taken, by host.
 	remote            *message              // Last message with a hint.
 	messageReceivedAt time.Time             // When remote was received.
 }
@@ -144,6 +149,12 @@
 	if c.OnLimits == nil {
 		c.OnLimits = func(time.Time, []steer.LimitObservation) {}
 	}
+	if c.Speeds == nil {
+		c.Speeds = func(time.Time) []steer.SpeedObservation { return nil }
+	}
+	if c.OnSpeeds == nil {
+		c.OnSpeeds = func(time.Time, []steer.SpeedObservation) {}
+	}
 	if c.Crashes == nil {
 		c.Crashes = func(time.Time) []steer.CrashReport { return nil }
 	}
@@ -176,6 +187,7 @@
 		remoteDataCentres: map[string]*remoteSum{},
 		localLimits:       limitTable{},
 		remoteLimits:      limitTable{},
+		speedRounds:       map[string]int64{},
 	}
 	g.wait.Add(1)
 	go func() {
--- a/internal/peer/gossip/leaders.go
+++ b/internal/peer/gossip/leaders.go
@@ -122,6 +122,7 @@
 	}
 	m.Limits = toWireLimits(g.localLimits.list(now))
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, g.passesOn)
 	for i, n := range g.localNotes {
 		m.Notes[i].HostID = n.hostID
 	}
--- a/internal/peer/gossip/receive.go
+++ b/internal/peer/gossip/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -20,6 +21,10 @@
 	g.config.OnNotes(now, append(fromWireNotes(m.RemoteNotes), notes...))
 	limits := fromWireLimits(m.Limits)
 	g.config.OnLimits(now, append(fromWireLimits(m.RemoteLimits), limits...))
+	m.Speeds, m.RemoteSpeeds = g.newSpeeds(m.Speeds), g.newSpeeds(m.RemoteSpeeds)
+	for _, s := range append(slices.Clip(m.Speeds), m.RemoteSpeeds...) {
+		g.config.OnSpeeds(now, s.observations())
+	}
 	if m.ListingFrom == g.config.Host {
 		g.config.OnAsked(m.Host)
 	}
@@ -96,10 +101,16 @@
 	if !remote {
 		g.localNotes = appendNotes(now, g.localNotes, m.Host, notes)
 		g.localLimits.add(now, limits)
+		for _, s := range m.Speeds {
+			g.localSpeeds = appendSpeeds(now, g.localSpeeds, s)
+		}
 		return
 	}
 	g.remoteNotes = appendNotes(now, g.remoteNotes, m.Host, notes)
 	g.remoteLimits.add(now, limits)
+	for _, s := range m.Speeds {
+		g.remoteSpeeds = appendSpeeds(now, g.remoteSpeeds, s)
+	}
 	if m.HostCount > 0 {
 		g.remoteDataCentres[m.DataCentre] = &remoteSum{
 			message:           m,
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -34,9 +34,10 @@
 	ownUsage := g.config.Usage(now)
 	notes := g.config.Notes(now)
 	limits := g.config.Limits(now)
+	speeds := newHostSpeeds(g.config.Host, now, g.config.Speeds(now))
 	crashes := g.config.Crashes(now)
 	hint, platformReachable := g.config.Hint(now)
-	if othersUsage := g.sendRound(now, ownUsage, notes, limits, crashes, hint, platformReachable); othersUsage != nil {
+	if othersUsage := g.sendRound(now, ownUsage, notes, limits, speeds, crashes, hint, platformReachable); othersUsage != nil {
 		g.config.OnPeerStatus(now, PeerStatus{
 			PeerID:     DataCentrePeerID(g.config.DataCentre),
 			ReportedAt: now,
@@ -45,11 +46,11 @@
 	}
 }
 
-// sendRound sends one round of messages with the notes, limits and crashes that this host had at observedAt. If this host is a leader it
-// returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
+// sendRound sends one round of messages with the notes, limits, speeds and crashes that this host had at observedAt. If this host is a
+// leader it returns the usage of the other hosts of the data centre together, or nil if it is unknown. Otherwise it returns nil.
 func (g *Gossiper) sendRound(
 	observedAt time.Time, ownUsage share.Report, notes []steer.TargetObservation, limits []steer.LimitObservation,
-	crashes []steer.CrashReport, hint Hint, platformReachable bool,
+	speeds hostSpeeds, crashes []steer.CrashReport, hint Hint, platformReachable bool,
 ) (othersUsage share.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -81,6 +82,7 @@
 	}
 	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, notes)
 	g.localLimits.add(now, limits)
+	g.localSpeeds = appendSpeeds(observedAt, g.localSpeeds, speeds)
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, ownUsage)
 	}
@@ -88,6 +90,9 @@
 	m.Notes, m.RemoteNotes = toWireNotes(notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
 	m.Limits, m.RemoteLimits = toWireLimits(limits), toWireLimits(g.remoteLimits.take(now))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, func(host string) bool { return host == g.config.Host })
+	m.RemoteSpeeds = currentSpeeds(now, g.remoteSpeeds, allHosts)
+	g.remoteSpeeds = g.remoteSpeeds[:0]
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
@@ -104,6 +109,7 @@
 	g.sendToLocalHosts(now, *m, ownUsage, remoteDataCentres)
 	g.localNotes = g.localNotes[:0]
 	clear(g.localLimits)
+	g.localSpeeds = g.localSpeeds[:0]
 	if g.usesLeaders && g.isLeader {
 		othersUsage, _ = g.sum(now)
 	}
@@ -143,6 +149,7 @@
 	m.Limits = toWireLimits(g.localLimits.list(now))
 	g.setPending(&m, otherRegions)
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, allHosts)
 	g.setPending(&m, sameRegion)
 }
 
--- a/internal/peer/gossip/wire.go
+++ b/internal/peer/gossip/wire.go
@@ -38,6 +38,8 @@
 	RemoteNotes       []note             `cbor:"passed,omitempty"`        // Observations of other data centres of the region, passed on.
 	Limits            []limitNote        `cbor:"limits,omitempty"`        // Limits that hosts of the data centre saw.
 	RemoteLimits      []limitNote        `cbor:"passed-limits,omitempty"` // Limits that other data centres sent, passed on.
+	Speeds            []hostSpeeds       `cbor:"speeds,omitempty"`        // Speeds of targets that hosts of the data centre saw.
+	RemoteSpeeds      []hostSpeeds       `cbor:"passed-speeds,omitempty"` // Those of other data centres of the region, passed on.
 	Crashes           []crashNote        `cbor:"crashes,omitempty"`       // Crashes that the sender knows, whoever saw them.
 	EntryChanges      *entryChanges      `cbor:"entries,omitempty"`
 	PeerAddress       string             `cbor:"peer-address,omitempty"` // Of the sender; empty if it is unknown.
