--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -199,6 +199,7 @@
 		LinkMbps:    s.LinkMbps,
 		CPUCores:    s.CPUCores(),
 	}
+	speeds := newSpeedReporter(n.logger, c.Metrics)
 	n.placer = place.New(place.Config{
 		Host:       s.HostID,
 		DataCentre: s.DataCentre,
@@ -207,6 +208,7 @@
 		Ejection:   n.logEjection,
 
 		LimitChange: n.logLimitChange,
+		SpeedChange: speeds.change,
 		Features:    s.Features(),
 		Deployment:  c.Deployment,
 	})
@@ -270,6 +272,8 @@
 		OnNotes:      n.placer.MergeNotes,
 		Limits:       n.placer.LimitNotes,
 		OnLimits:     n.placer.MergeLimitNotes,
+		Speeds:       func(now time.Time) []steer.SpeedObservation { return speeds.notes(now, n.placer) },
+		OnSpeeds:     func(now time.Time, list []steer.SpeedObservation) { speeds.merge(now, n.placer, list) },
 		Crashes:      n.poison.Reports,
 		OnCrashes:    n.poison.Merge,
 		Load:         n.updateEntryHosts,
--- a/internal/peer/gossip/export_test.go
+++ b/internal/peer/gossip/export_test.go
@@ -50,3 +50,11 @@
 		Load: toWireLoad(l),
 	}) - size(message{})
 }
+
+// EncodeSpeeds returns a message with the observations of one host.
+func EncodeSpeeds(host string, now time.Time, list []steer.SpeedObservation) ([]byte, error) {
+	return encode(&message{
+		Host:   host,
+		Speeds: []hostSpeeds{newHostSpeeds(host, now, list)},
+	})
+}
--- a/internal/peer/gossip/leaders.go
+++ b/internal/peer/gossip/leaders.go
@@ -124,6 +124,7 @@
 	m.Admission, m.AdmissionSum = nil, toWireAdmission(g.admission.sum(now, g.round%customerRounds == 0))
 	m.Limits = toWireLimits(g.localLimits.list(now))
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, g.passesOn)
 	for i, n := range g.localNotes {
 		m.Notes[i].HostID = n.hostID
 	}
--- a/internal/peer/gossip/round.go
+++ b/internal/peer/gossip/round.go
@@ -34,6 +34,7 @@
 	usage     share.Report
 	notes     []steer.TargetObservation
 	limits    []steer.LimitObservation
+	speeds    hostSpeeds
 	crashes   []steer.CrashReport
 	admission []steer.AdmissionReport
 	load      *hostLoad // Nil if there is nothing to report.
@@ -48,6 +49,7 @@
 		usage:     g.config.Usage(now),
 		notes:     g.config.Notes(now),
 		limits:    g.config.Limits(now),
+		speeds:    newHostSpeeds(g.config.Host, now, g.config.Speeds(now)),
 		crashes:   g.config.Crashes(now),
 		admission: g.config.Admission(now),
 	}
@@ -108,6 +110,7 @@
 	}
 	g.localNotes = appendNotes(now, g.localNotes, g.config.Host, r.notes)
 	g.localLimits.add(now, r.limits)
+	g.localSpeeds = appendSpeeds(collectedAt, g.localSpeeds, r.speeds)
 	if g.isSpeaker(now) {
 		g.sendToRemoteDataCentres(now, *m, r.usage)
 	}
@@ -117,6 +120,9 @@
 	m.Notes, m.RemoteNotes = toWireNotes(r.notes), toWireNotes(currentNotes(now, g.remoteNotes))
 	g.remoteNotes = g.remoteNotes[:0]
 	m.Limits, m.RemoteLimits = toWireLimits(r.limits), toWireLimits(g.remoteLimits.take(now))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, func(host string) bool { return host == g.config.Host })
+	m.RemoteSpeeds = currentSpeeds(now, g.remoteSpeeds, allHosts)
+	g.remoteSpeeds = g.remoteSpeeds[:0]
 	var remoteDataCentres []remoteReport
 	for name, sum := range g.remoteDataCentres {
 		remoteDataCentres = append(remoteDataCentres, remoteReport{
@@ -134,6 +140,7 @@
 	g.sendToLocalHosts(now, *m, r.usage, remoteDataCentres)
 	g.localNotes = g.localNotes[:0]
 	clear(g.localLimits)
+	g.localSpeeds = g.localSpeeds[:0]
 	if g.usesLeaders && g.isLeader {
 		othersUsage, _ = g.sum(now)
 	}
@@ -173,6 +180,7 @@
 	m.Limits = toWireLimits(g.localLimits.list(now))
 	g.setPending(&m, otherRegions)
 	m.Notes = toWireNotes(currentNotes(now, g.localNotes))
+	m.Speeds = currentSpeeds(now, g.localSpeeds, allHosts)
 	g.setPending(&m, sameRegion)
 }
 
