Learn of slow targets from requests in progress

Cause: a target that becomes so slow that its requests run into their timeouts is known only after the first timeout, 2 s and more after it became slow. A target that is 12 times slower takes 2.6 s for a query of 217 ms.

Change: a request without an answer counts as a sample once it takes three times the usual work of its class, 4.5 times if the target may not know the object, and again each time that has doubled. Its later samples replace it, and it does not count for the capacity.

--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -180,6 +180,7 @@
 		choice.object = hash
 	}
 	best.inFlight++
+	s.recordSent(&choice)
 	return choice, nil
 }
 
--- a/internal/edge/place/speeds.go
+++ b/internal/edge/place/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"monsoonhub.example/steer"
@@ -30,6 +31,12 @@
 	// tellFirst is the factor from 1 from which the samples of a target are told before those of others.
 	tellFirst = 1.25
 
+	// overdueKnown and overdueUncertain are the multiples of the usual work after which a request without an answer counts as a sample, for an
+	// object that the target knows and for others. A work factor of 2.5, and an unknown object, do not reach them. Each time the
+	// multiple has doubled it counts again. Without that, a target that is 12 times slower is known only after the timeout of its requests.
+	overdueKnown     = 3.0
+	overdueUncertain = 4.5
+
 	// lowCapacity is the fraction of its slots below which the capacity of a target counts as low in SpeedSummary.
 	lowCapacity = 0.75
 )
@@ -62,6 +69,16 @@
 type targetSpeed struct {
 	estimator *speed.Estimator // Nil without samples.
 	slow      bool             // The target was reported as slow.
+	sent      []sentRequest    // Requests of this host in progress.
+}
+
+// sentRequest is a request in progress.
+type sentRequest struct {
+	started time.Time
+	class   string
+	object  uint64
+	load    float64       // Requests at the target, this one included.
+	overdue time.Duration // Age at which it counts as a sample; 0 if it was not computed yet.
 }
 
 // serviceSpeeds is what the estimates of a service's targets have in common.
@@ -133,6 +150,58 @@
 	return t.speed.estimator
 }
 
+// recordSent records that a request was sent.
+func (s *service) recordSent(c *Choice) {
+	if !s.usesSpeed() {
+		return
+	}
+	t := c.targetState
+	t.speed.sent = append(t.speed.sent, sentRequest{
+		started: c.started,
+		class:   c.class,
+		object:  c.object,
+		load:    c.loadPerSlot*t.slots() + 1,
+	})
+}
+
+// recordEnd records that a request is no longer in progress.
+func (t *targetState) recordEnd(c *Choice) {
+	same := func(r sentRequest) bool {
+		return r.started.Equal(c.started) && r.object == c.object && r.class == c.class
+	}
+	if i := slices.IndexFunc(t.speed.sent, same); i >= 0 {
+		t.speed.sent = slices.Delete(t.speed.sent, i, i+1)
+	}
+}
+
+// observeOverdue learns from requests without an answer that take much longer than usual.
+func (s *service) observeOverdue(now time.Time, t *targetState) {
+	for i := range t.speed.sent {
+		r := &t.speed.sent[i]
+		known := s.speeds.knows(now, t, r.object)
+		work := s.speeds.reference(r.class, t.target.HomeRegion).Work()
+		age := now.Sub(r.started)
+		if r.overdue == 0 {
+			multiple := overdueUncertain
+			if known {
+				multiple = overdueKnown
+			}
+			r.overdue = time.Duration(multiple * float64(work) * math.Max(1, r.load/t.slots()))
+		}
+		if work == 0 || age < r.overdue {
+			continue
+		}
+		r.overdue = 2 * age
+		t.estimator().Observe(now, speed.Sample{
+			Latency:      age,
+			Load:         r.load,
+			ExpectedWork: work,
+			KnownObject:  known,
+			InProgress:   true,
+		})
+	}
+}
+
 // observeSpeed learns from the outcome of a request. Refusals, failures and lost connections say nothing about the speed.
 func (s *service) observeSpeed(now time.Time, c *Choice, o *Outcome) {
 	factor := 0.0
@@ -140,6 +209,7 @@
 		factor = o.Load.WorkFactor
 	}
 	s.speeds.workFactors = s.speeds.workFactors || factor > 0
+	c.targetState.recordEnd(c)
 	if !s.usesSpeed() || o.Inconclusive || o.Gone || o.Shed || o.Failed && !o.TimedOut {
 		return
 	}
@@ -213,6 +283,11 @@
 func (p *Placer) SpeedNotes(now time.Time) []steer.SpeedObservation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, s := range p.services {
+		for _, t := range s.targets {
+			s.observeOverdue(now, t)
+		}
+	}
 	var notes, later []*targetState
 	for t := range p.estimated() {
 		t.reportSpeed(now)
--- a/internal/edge/place/speeds_test.go
+++ b/internal/edge/place/speeds_test.go
@@ -170,6 +170,26 @@
 	assert.Assert(t, known > 10)
 }
 
+// Guards against a target whose requests run into their timeouts, so that nobody learns of it before the first of them. Load as above;
+// the target takes 3.2 s for a request, the timeout is 2 s. Bound: half of the hosts know it 2.5 s after it became slow.
+func TestRequestsInProgressTellOfSlowTarget(t *testing.T) {
+	const slowness, runs = 40, 10
+	slow := 0
+	for range runs {
+		f := newSpeedFleet(t, steer.ModeOn, false)
+		f.play(0, 20*time.Second, false)
+		f.slowness[3] = slowness
+		f.play(20*time.Second, 22500*time.Millisecond, false)
+		for host := range speedHosts {
+			if f.speeds(host, 22500*time.Millisecond)[3].Slowness > 2 {
+				slow++
+			}
+		}
+	}
+	t.Logf("known at %d of %d hosts", slow, runs*speedHosts)
+	assert.Assert(t, slow > runs*speedHosts/2)
+}
+
 // Guards against deployments without these load patterns that are served otherwise than before, and against ones that have them and
 // are not.
 func TestSpeedIsUsedWhereItIsCalledFor(t *testing.T) {
--- a/internal/edge/speed/speed.go
+++ b/internal/edge/speed/speed.go
@@ -14,11 +14,11 @@
 	unknownSpread = 1.4
 
 	// unknownWeight is the part of the weight of a sample with such a ratio that counts at it. The rest counts at 1, so that a
-	// target which gets unknown objects only never counts as slow.
+	// target does not count as slow because it gets unknown objects only.
 	unknownWeight = 0.45
 
 	// decayTime is the time after which the weight of a sample has fallen to 1/e. With lowerQuantile, a slowdown is known
-	// after about 1 s of steady samples, and one of disturbanceTime is not taken for one.
+	// after about 1 s of steady samples, and a machine that is busy with other work for 0.6 s is not taken for one.
 	decayTime = time.Second
 
 	// maxGap bounds the time that one sample stands for, and the time between two samples in the decay of the older one. Three
@@ -86,7 +86,8 @@
 	ExpectedWork time.Duration // Usual work of its class for an object that the target knows; 0 if unknown, then nothing is learned.
 	KnownObject  bool          // The target probably knows the object. False if that is uncertain.
 	WorkFactor   float64       // Work factor in the response; 0 if none was reported.
-	Answered     bool          // False if there was no answer before the deadline. Latency is then a lower bound.
+	Answered     bool          // False if there was no answer before the deadline, or is none yet. Latency is then a lower bound.
+	InProgress   bool          // There is no answer yet. The sample is replaced by the next one of the request.
 }
 
 // Estimator estimates the slowness and the capacity of one target. It must be made with New. It is not safe for concurrent use.
@@ -118,6 +119,7 @@
 	at        time.Time // When the request was sent: a slow answer says nothing about the time at which it arrives.
 	bits      float64   // Binary logarithm of the ratio of the work to the expected work.
 	load      float64   // Requests at the target for each slot.
+	progress  bool      // The request was in progress.
 	uncertain bool      // The target may not know the object.
 	peer      bool      // Another host sent the request.
 }
@@ -152,6 +154,7 @@
 		at:        now.Add(-s.Latency),
 		bits:      bits,
 		load:      math.Max(0, s.Load) / e.slots,
+		progress:  s.InProgress,
 		uncertain: !s.KnownObject,
 	}
 	e.add(now, p)
@@ -179,7 +182,7 @@
 	factor := math.Log2(math.Max(minWorkFactor, math.Min(maxWorkFactor, s.WorkFactor)))
 	excess := factor - e.usualFactor
 	if !e.factorAt.IsZero() {
-		elapsed := min(max(now.Sub(e.factorAt), 0), maxGap) // One response says nothing about a long time.
+		elapsed := min(max(now.Sub(e.factorAt), 0), factorLife) // One response says nothing about a longer time.
 		e.usualFactor += (factor - e.usualFactor) * (1 - math.Exp(-elapsed.Seconds()/usualFactorTime.Seconds()))
 	}
 	e.factorAt = now
@@ -194,7 +197,7 @@
 // add inserts a sample in the order of time and learns the capacity from it.
 func (e *Estimator) add(now time.Time, p point) {
 	expected := e.slownessBits(now)
-	if math.Abs(e.unloaded(&p, e.Capacity(now))-expected) < maxKneeBits {
+	if !p.progress && math.Abs(e.unloaded(&p, e.Capacity(now))-expected) < maxKneeBits {
 		e.knee.add(now, p, e.loadedBits)
 	}
 	i := len(e.points)
@@ -202,6 +205,10 @@
 		i--
 	}
 	e.stale, e.heardAt = true, now
+	if i > 0 && e.points[i-1].progress && p.at.Equal(e.points[i-1].at) {
+		e.points[i-1] = p // The same request, of which more is known now.
+		return
+	}
 	if i > 0 && p.at.Sub(e.points[i-1].at) < thinInterval {
 		if e.keepOlder = !e.keepOlder; !e.keepOlder {
 			e.points[i-1] = p
