--- a/internal/edge/place/copies.go
+++ b/internal/edge/place/copies.go
@@ -11,9 +11,12 @@
 	// known with a delay.
 	copyMargin = 0.2
 
-	// uncachedMargin is the same if the alternate has to load the object, which takes about three times as long. Such a request
-	// moves only if it would be late at the first target anyway.
+	// uncachedMargin is by how much shorter the queue of the alternate must be, in requests for each slot, if it has to load the
+	// object. Such a request moves only if it would be late at the first target anyway.
 	uncachedMargin = 0.3
+
+	// uncachedCost is the work for an object that is not in the cache of its target, relative to that for one that is.
+	uncachedCost = 3.0
 )
 
 // usesCopies reports whether an object has two targets in its region.
@@ -75,30 +78,31 @@
 }
 
 // chooseCopy returns the first target for an object in a region, and the one of its two targets at which a request is expected to take
-// less time. The alternate counts only if it has the object in its cache, or if the request would miss its objective at the first
-// target anyway.
+// less time. If the alternate does not have the object in its cache, it counts only if the request would miss its objective at the
+// first target, and then only for its shorter queue, or if the first target is so slow that loading the object takes less time.
 func (s *service) chooseCopy(now time.Time, request *Request, hash uint64, region string) (first, chosen *targetState) {
 	c := s.copiesOf(now, request, hash, region)
 	if c.alternate == nil {
 		return c.first, c.first
 	}
-	expected := s.expectedTime(now, c.first, request)
-	margin := copyMargin
-	if request.Key != "" && !s.objects.knows(now, c.alternate, hash) {
-		if request.Objective == 0 || expected <= request.Objective.Seconds() {
-			return c.first, c.first
-		}
-		margin = uncachedMargin
+	queue, alternateQueue := c.first.queue(now), c.alternate.queue(now)
+	slowness, alternateSlowness := c.first.noticedSlowness(now), c.alternate.noticedSlowness(now)
+	work, own := s.work.value, s.expectedWork(request.Class)
+	expected := slowness * (own + work*queue)
+	better := false
+	if request.Key == "" || s.objects.knows(now, c.alternate, hash) {
+		better = alternateSlowness*(own+work*alternateQueue)+copyMargin*work < expected
+	} else if request.Objective > 0 && expected > request.Objective.Seconds() {
+		better = alternateQueue+uncachedMargin < queue || slowness > uncachedCost*alternateSlowness
 	}
-	if s.expectedTime(now, c.alternate, request)+margin*s.work.value < expected {
+	if better {
 		return c.first, c.alternate
 	}
 	return c.first, c.first
 }
 
-// expectedTime returns the time in seconds that a request for a cached object is expected to take at a target.
-func (s *service) expectedTime(now time.Time, t *targetState, request *Request) float64 {
+// queue returns the length of the queue that one more request finds, in requests for each slot.
+func (t *targetState) queue(now time.Time) float64 {
 	capacity := t.capacity(now)
-	queue := math.Max(0, t.estimatedLoad(now)+1-capacity) / capacity
-	return t.noticedSlowness(now) * (s.expectedWork(request.Class) + s.work.value*queue)
+	return math.Max(0, t.estimatedLoad(now)+1-capacity) / capacity
 }
