--- a/internal/edge/place/speeds.go
+++ b/internal/edge/place/speeds.go
@@ -144,7 +144,7 @@
 		started: c.started,
 		class:   c.class,
 		object:  c.object,
-		load:    c.loadPerSlot*t.slots() + 1,
+		load:    c.EstimatedLoad + 1,
 	})
 }
 
@@ -162,7 +162,7 @@
 func (s *service) observeOverdue(now time.Time, t *targetState) {
 	for i := range t.speed.sent {
 		r := &t.speed.sent[i]
-		known := s.speeds.knows(now, t, r.object)
+		known := s.objects.knows(now, t, r.object)
 		work := s.speeds.reference(r.class, t.target.HomeRegion).Work()
 		age := now.Sub(r.started)
 		if r.overdue == 0 {
