--- a/internal/edge/place/weight.go
+++ b/internal/edge/place/weight.go
@@ -12,7 +12,7 @@
 
 	// weightTimeConstant is the time constant of the mean slowness that determines the weight of a target. A target that is slow for
 	// some seconds keeps its objects, and their requests go to the alternate target for that time.
-	weightTimeConstant = 20 * time.Second
+	weightTimeConstant = time.Minute
 
 	// weightSteps is the number of steps of a weight for each factor of 2, and weightHysteresis how many steps beyond the middle
 	// between two of them the mean must be for the weight to change.
