--- a/internal/edge/place/copies.go
+++ b/internal/edge/place/copies.go
@@ -20,9 +20,7 @@
 )
 
 // usesCopies reports whether an object has two targets in its region.
-func (s *service) usesCopies() bool {
-	return s.features.ObjectCopies.Enabled(s.contested || s.reportsWorkFactor())
-}
+func (s *service) usesCopies() bool { return s.uses(s.features.ObjectCopies) }
 
 // copies are the two targets of a region that keep an object, in different data centres.
 type copies struct {
--- a/internal/edge/place/fleet_test.go
+++ b/internal/edge/place/fleet_test.go
@@ -28,6 +28,7 @@
 type simulatedTarget struct {
 	cached   map[string]bool // By object.
 	requests []*targetRequest
+	slowness float64 // Factor of the work; 0 means 1.
 }
 
 const (
@@ -58,6 +59,9 @@
 				if c.cached[w.object] {
 					w.work = hitWork
 				}
+				if c.slowness > 0 {
+					w.work = time.Duration(c.slowness * float64(w.work))
+				}
 			}
 			if !w.begun.IsZero() {
 				busy++
@@ -86,7 +90,11 @@
 	rate          float64 // Requests per second of all hosts together.
 	exchangeNotes bool
 	objectCopies  steer.Mode
-	warmup        time.Duration // Requests that are sent before are not counted.
+	targetSpeed   steer.Mode
+	slowness      func(target int, elapsed time.Duration) float64 // Factor of the work of a target; nil means 1.
+	warmup        time.Duration                                   // Requests that are sent before are not counted.
+	until         time.Duration                                   // Requests that are sent later are not counted; 0 counts all.
+	length        time.Duration                                   // At least 15 s.
 }
 
 // fleetResult holds fractions of all requests.
@@ -94,9 +102,17 @@
 	inTime  float64
 	refused float64
 	wasted  float64 // Reached their deadline at a target, which wastes the target's work.
+
+	byTarget map[string]int // Requests that were sent to each target.
 }
 
-// run simulates 15 seconds of the load.
+// counts reports whether a request that is sent at the given time counts.
+func (l *fleetLoad) counts(sent time.Time) bool {
+	elapsed := sent.Sub(start)
+	return elapsed >= l.warmup && (l.until == 0 || elapsed < l.until)
+}
+
+// run simulates the load.
 func (l fleetLoad) run(t *testing.T) fleetResult {
 	t.Helper()
 	random := rand.New(rand.NewPCG(3, 4))
@@ -114,30 +130,38 @@
 			Regions:    regions,
 			Features: steer.Features{
 				ObjectCopies: l.objectCopies,
+				TargetSpeed:  l.targetSpeed,
 			},
 		})
 		placers[i].Update(start, newView(t, l.targets...), place.Fleet{Hosts: l.hosts})
 	}
 	all, answeredInTime, refused, wastedRequests := 0, 0, 0, 0
-	for now := start; now.Before(start.Add(15 * time.Second)); now = now.Add(tick) {
+	byTarget := map[string]int{}
+	length := max(l.length, 15*time.Second)
+	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
+		for i, r := range l.targets {
+			if l.slowness != nil {
+				simulated[r.ID].slowness = l.slowness(i, now.Sub(start))
+			}
+		}
 		for _, c := range simulated {
 			timedOut, done := c.step(now)
 			for _, w := range timedOut {
-				if w.sent.Sub(start) >= l.warmup {
+				if l.counts(w.sent) {
 					wastedRequests++
 				}
 				placers[w.host].Done(now, w.choice, place.Outcome{Failed: true, TimedOut: true, Latency: now.Sub(w.sent)})
 			}
 			for _, w := range done {
 				took := now.Sub(w.sent) + 2*networkDelay
-				if took <= latencyObjective && w.sent.Sub(start) >= l.warmup {
+				if took <= latencyObjective && l.counts(w.sent) {
 					answeredInTime++
 				}
 				placers[w.host].Done(now, w.choice, place.Outcome{Latency: took, Load: c.load()})
 			}
 		}
 		for n := l.rate*tick.Seconds() + random.NormFloat64(); n >= 1; n-- {
-			counted := now.Sub(start) >= l.warmup
+			counted := l.counts(now)
 			if counted {
 				all++
 			}
@@ -151,6 +175,9 @@
 				}
 				continue
 			}
+			if counted {
+				byTarget[c.Target.ID]++
+			}
 			simulated[c.Target.ID].requests = append(simulated[c.Target.ID].requests, &targetRequest{
 				host:   host,
 				choice: c,
@@ -160,10 +187,11 @@
 		}
 		if l.exchangeNotes && now.Sub(start)%noteInterval == 0 {
 			for i, p := range placers {
-				notes := p.Notes(now)
+				notes, speeds := p.Notes(now), p.SpeedNotes(now)
 				for j, q := range placers {
 					if i != j {
 						q.MergeNotes(now, notes)
+						q.MergeSpeedNotes(now, speeds)
 					}
 				}
 			}
@@ -173,6 +201,8 @@
 		inTime:  float64(answeredInTime) / float64(all),
 		refused: float64(refused) / float64(all),
 		wasted:  float64(wastedRequests) / float64(all),
+
+		byTarget: byTarget,
 	}
 }
 
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -272,7 +272,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.services {
 		s.demand = nil
-		if s.features.DemandShares.Enabled(s.contested || s.reportsWorkFactor()) {
+		if s.uses(s.features.DemandShares) {
 			s.demand = demand
 		}
 	}
--- a/internal/edge/place/speeds.go
+++ b/internal/edge/place/speeds.go
@@ -75,8 +75,6 @@
 
 // serviceSpeeds is what the estimates of a service's targets have in common.
 type serviceSpeeds struct {
-	mode        steer.Mode
-	contested   bool // As in steer.Deployment.
 	workFactors bool // A target reported a work factor.
 	onChange    func(SpeedChange)
 	references  map[referenceKey]*speed.Reference
@@ -90,8 +88,6 @@
 
 func newServiceSpeeds(c Config) serviceSpeeds {
 	return serviceSpeeds{
-		mode:       c.Features.TargetSpeed,
-		contested:  c.Deployment.ContestedCapacity,
 		onChange:   c.SpeedChange,
 		references: map[referenceKey]*speed.Reference{},
 	}
@@ -101,8 +97,11 @@
 func (s *service) reportsWorkFactor() bool { return s.speeds.workFactors }
 
 // usesSpeed reports whether the speed of targets is learned and used.
-func (s *service) usesSpeed() bool {
-	return s.speeds.mode.Enabled(s.speeds.contested || s.reportsWorkFactor())
+func (s *service) usesSpeed() bool { return s.uses(s.features.TargetSpeed) }
+
+// uses reports whether a feature with the given mode is in use for the service.
+func (s *service) uses(mode steer.Mode) bool {
+	return mode.Enabled(s.contested || s.reportsWorkFactor())
 }
 
 // slowness returns the time that the target takes relative to the median target of the service: above 1 it is slower. It is 1
