--- a/internal/edge/place/weight_test.go
+++ b/internal/edge/place/weight_test.go
@@ -1,7 +1,6 @@
 package place_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -84,6 +83,6 @@
 		all += n
 		moved += max(0, n-with.byTarget[id])
 	}
-	t.Log(fmt.Sprintf("%d of %d requests run elsewhere", moved, all))
+	t.Logf("%d of %d requests run elsewhere", moved, all)
 	assert.Assert(t, moved*20 < all, "%d of %d requests run elsewhere", moved, all)
 }
