--- a/internal/edge/place/doc.go
+++ b/internal/edge/place/doc.go
@@ -8,4 +8,9 @@
 //
 // All requests for one object in a region go to one target, by rendezvous hashing. A target takes three times as long for an
 // object that is not in its cache, so a second target costs more than a queue.
+//
+// Three optional features refine this. With copies, an object has a second target in another data centre of its region, which
+// is used while the first one is busy or slow. With speeds, queues, the objects of a target and the capacity of regions follow
+// what each target is found to take (package speed). With demand shares, regions are divided by their mean demand (package
+// region).
 package place
