--- a/internal/ops/sigs/early.c
+++ b/internal/ops/sigs/early.c
@@ -6,7 +6,7 @@
 
 static int hangup_ignored;
 
-int monsoonhub_hangup_ignored(void) { return hangup_ignored; }
+int monsoonhub_sighup_ignored(void) { return hangup_ignored; }
 
 // Runs before the Go runtime, whose own handler of SIGHUP ends the process until Notify is called. The runtime leaves SIGRTMIN
 // alone, whose default action ends the process too.
--- a/internal/ops/sigs/early.h
+++ b/internal/ops/sigs/early.h
@@ -1,2 +1,2 @@
 // Reports whether the process was started with SIGHUP ignored, as nohup does.
-int monsoonhub_hangup_ignored(void);
+int monsoonhub_sighup_ignored(void);
--- a/internal/ops/sigs/early_cgo.go
+++ b/internal/ops/sigs/early_cgo.go
@@ -6,4 +6,4 @@
 import "C"
 
 // hangupIgnored reports whether the process was started with SIGHUP ignored, as nohup does.
-func hangupIgnored() bool { return C.monsoonhub_hangup_ignored() != 0 }
+func hangupIgnored() bool { return C.monsoonhub_sighup_ignored() != 0 }
