Let busy targets count less in the admission pressure

Cause: a refusal counted 2.5 requests per slot in the pressure, and a busy target its whole queue.

Change: no sample counts more than 1.6 requests per slot, a level needs a mean above 0.9, and queues above 1.1 lower the admitted rate by more.

--- a/internal/edge/admit/admit_test.go
+++ b/internal/edge/admit/admit_test.go
@@ -72,6 +72,24 @@
 	assert.Assert(t, f.fractionIn(time.Second, 10*time.Second) >= 0.99)
 }
 
+// Guards against callers that are refused because other targets than theirs are full. Load: demand of 0.75 times the capacity;
+// the busiest targets get 1.8 times the mean and cannot serve it, the others have room.
+func TestBusyTargets(t *testing.T) {
+	play := func(admission bool) *fleet {
+		f := newFleet(seed, hosts, targets, admission)
+		f.skew = 0.8
+		f.run(3*time.Second, always(0.75))
+		f.measure(6*time.Second, always(0.75))
+		return f
+	}
+	f, without := play(true), play(false)
+	t.Logf("seed %d: with %+v, without %+v", seed, f.priorities, without.priorities)
+	for p := range f.priorities {
+		assert.Assert(t, f.priorities[p].fraction() >= 0.9*without.priorities[p].fraction(), "priority %d", p)
+	}
+	assert.Assert(t, float64(f.onTime()) >= 0.97*float64(without.onTime()))
+}
+
 // Guards against a burst of one route that makes more urgent requests late, and against waves of callers that return together
 // after it. Load: 0.75 of the capacity, one route sends 2.4 times as much for 5 s.
 func TestBurstOfOneRoute(t *testing.T) {
--- a/internal/edge/admit/load_test.go
+++ b/internal/edge/admit/load_test.go
@@ -79,6 +79,7 @@
 	reported []float64     // Load per slot as last reported, by target.
 	queue    events
 	sums     map[int][]steer.AdmissionReport // Of the last round, by data centre.
+	skew     float64                         // Load of the busiest target as a multiple of the mean, less 1. Others have evenly spread loads.
 	ignore   bool                            // Callers return at once, whatever Retry-After says.
 	weights  []float64
 
@@ -275,7 +276,7 @@
 	}
 	f.admitted[bin]++
 	f.byHost[c.host].served++
-	t := f.random.IntN(len(f.targets))
+	t := f.target()
 	c.load = f.reported[t]
 	if c.load >= k.limit {
 		f.observe(c.host, admit.Outcome{
@@ -308,6 +309,16 @@
 	return 0, false
 }
 
+// target returns the target of an object. The objects of the first targets are requested more often.
+func (f *fleet) target() int {
+	for {
+		t, x := f.random.IntN(len(f.targets)), f.random.Float64()
+		if x*(1+f.skew) < 1+f.skew-2*f.skew*float64(t)/float64(len(f.targets)) {
+			return t
+		}
+	}
+}
+
 func (f *fleet) observe(host int, o admit.Outcome) {
 	if f.hosts[host] != nil {
 		f.hosts[host].Observe(f.now, "tiles", "north", o)
--- a/internal/edge/admit/pool.go
+++ b/internal/edge/admit/pool.go
@@ -33,11 +33,12 @@
 	// shareInterval is the minimum time between two updates of fair shares, which take some microseconds.
 	shareInterval = 200 * time.Millisecond
 
-	// maxSample bounds what a request counts in the mean, in requests per slot. Targets take queues of up to three.
-	maxSample = 2.5
+	// maxSample bounds what a request counts in the mean, in requests per slot, so that a few busy targets do not raise it while
+	// others have room.
+	maxSample = 1.6
 
 	// lateSample is what a late answer of a target with a queue counts in the mean, in requests per slot.
-	lateSample = 2.0
+	lateSample = 1.4
 
 	// unknownSample is what a timely answer counts in the mean if the load of its target is not known.
 	unknownSample = 0.5
@@ -58,14 +59,14 @@
 
 	// freePressure is the mean load per slot up to which there is free capacity, and the level is 0. fullPressure is that at
 	// which all slots are in use most of the time, and further requests wait.
-	freePressure = 0.8
-	fullPressure = 1.05
+	freePressure = 0.9
+	fullPressure = 1.1
 
 	// growth is the fraction by which more is admitted than is answered, for each request per slot below fullPressure, so that
 	// free slots are used. shrinkage is the fraction by which less is admitted for each above it, so that queues are worked off.
 	// A larger one makes the level oscillate, since the load of targets follows the level by some hundred milliseconds.
 	growth    = 3.0
-	shrinkage = 1.2
+	shrinkage = 2.0
 
 	// minAdmitted is the smallest fraction of the demand that is admitted.
 	minAdmitted = 0.01
@@ -92,7 +93,7 @@
 
 // noRoomSamples holds, by priority, what a refusal counts in the mean, in requests per slot. The placer refuses less urgent
 // requests at a lower load of their target.
-var noRoomSamples = [priorityLevels]float64{2.5, 2.0, 1.4}
+var noRoomSamples = [priorityLevels]float64{maxSample, maxSample, 1.0}
 
 // pool is the state of one service in one region.
 type pool struct {
