Tell returns of callers apart by customer for the admission

Cause: a caller whose time left is shorter than that of other callers of the route counted as one that has lost time. Customers with short timeouts would be refused first during a shortage, as if their answers could only be late.

Change: for the admission control, the time lost is measured within a route and customer. The retry budget still goes by route. A customer that is unknown when no customer has any demand is admitted like others below the fair share.

pass.TestShortTimeoutIsNoReturn fails without the change (503 instead of 200). Tests of pass and admit pass, also with the race detector.

--- a/internal/edge/admit/priority.go
+++ b/internal/edge/admit/priority.go
@@ -137,6 +137,10 @@
 		demands = append(demands, d)
 		total, largest = total+d, math.Max(largest, d)
 	}
+	if len(demands) == 0 {
+		l.fairShare = math.Inf(1)
+		return
+	}
 	low, high := 0.0, largest
 	for range fairShareSteps {
 		l.fairShare = (low + high) / 2
--- a/internal/edge/pass/admission.go
+++ b/internal/edge/pass/admission.go
@@ -24,11 +24,12 @@
 		Priority:  j.priority,
 		Objective: j.route.Objective,
 		TimeLeft:  j.deadline.Sub(now),
-		TimeLost:  j.timeLost,
 	}
 	if j.customer != nil {
 		request.Customer = j.customer.Name
 	}
+	// The timeouts of customers differ. A caller with a short one must not count as one that has lost time.
+	request.TimeLost = h.timeDetector.timeLost(j.route.Name+"/"+request.Customer, h.callerTimeout(j.request))
 	j.admission = h.config.Admission.Decide(now, request)
 	if !j.admission.Refused {
 		return nil
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -66,7 +66,8 @@
 	config        Config
 	trafficSplits *trafficSplits
 	retryBudget   *RetryBudget
-	retryDetector *retryDetector
+	retryDetector *retryDetector // By route.
+	timeDetector  *retryDetector // By route and customer, for the admission control.
 	accessLog     *accessLog
 	guard         *guard.Guard
 }
@@ -99,6 +100,7 @@
 		trafficSplits: newTrafficSplits(),
 		retryBudget:   NewRetryBudget(c.RetryBudget),
 		retryDetector: newRetryDetector(),
+		timeDetector:  newRetryDetector(),
 		accessLog:     newAccessLog(c.Logger, c.Metrics),
 		guard: guard.New(guard.Config{
 			Logger:  c.Logger,
@@ -118,10 +120,9 @@
 	priority       int
 	version        uint64
 	deadline       time.Time
-	limitedByRoute bool          // The route's timeout ends before the caller's deadline.
-	isRetry        bool          // The caller seems to retry after a refusal.
-	timeLost       time.Duration // Time that such a caller has spent.
-	fallbackHash   uint64        // Used in the next attempt if there is no affinity key.
+	limitedByRoute bool   // The route's timeout ends before the caller's deadline.
+	isRetry        bool   // The caller seems to retry after a refusal.
+	fallbackHash   uint64 // Used in the next attempt if there is no affinity key.
 	header         http.Header
 	attempts       []attempt
 	triedTargets   []string // Ids of targets.
@@ -239,8 +240,7 @@
 		}
 	}
 	j.deadline, j.limitedByRoute = h.deadline(r, j.route)
-	j.timeLost = h.retryDetector.timeLost(j.route.Name, h.callerTimeout(r))
-	j.isRetry = j.timeLost > 0
+	j.isRetry = h.retryDetector.timeLost(j.route.Name, h.callerTimeout(r)) > 0
 	if ctx.Err() != nil {
 		return j, newRefusal(steer.ReasonCallerLeft, http.StatusServiceUnavailable, 0)
 	}
--- a/internal/edge/pass/retrydetector.go
+++ b/internal/edge/pass/retrydetector.go
@@ -14,15 +14,16 @@
 	// each request.
 	longestDecay = 0.001
 
-	// maxTrackedRoutes bounds the routes whose longest times are kept. It is several times the number of routes in a plan.
-	maxTrackedRoutes = 4096
+	// maxTracked bounds the groups of callers whose longest times are kept. It is several times the routes of a plan, and allows
+	// for the larger customers of each.
+	maxTracked = 16384
 )
 
-// retryDetector distinguishes callers that retry after a refusal from others. All callers of a route start with the same
+// retryDetector distinguishes callers that retry after a refusal from others. All callers of a group start with the same
 // timeout, so a caller that retries has less time left, by as much as it has spent.
 type retryDetector struct {
 	mu           sync.Mutex
-	longestTimes map[string]time.Duration // By route: the longest recent time that a caller had left.
+	longestTimes map[string]time.Duration // By group: the longest recent time that a caller had left.
 }
 
 func newRetryDetector() *retryDetector {
@@ -33,18 +34,18 @@
 
 // timeLost records the time that a caller has left, and returns the time that it seems to have spent on attempts that were
 // refused; 0 for a caller that does not seem to retry.
-func (d *retryDetector) timeLost(route string, timeLeft time.Duration) time.Duration {
+func (d *retryDetector) timeLost(group string, timeLeft time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	longest, ok := d.longestTimes[route]
+	longest, ok := d.longestTimes[group]
 	switch {
-	case !ok && len(d.longestTimes) >= maxTrackedRoutes:
+	case !ok && len(d.longestTimes) >= maxTracked:
 		clear(d.longestTimes)
-		d.longestTimes[route] = timeLeft
+		d.longestTimes[group] = timeLeft
 	case !ok || timeLeft >= longest:
-		d.longestTimes[route] = timeLeft
+		d.longestTimes[group] = timeLeft
 	default:
-		d.longestTimes[route] = longest - time.Duration(longestDecay*float64(longest-timeLeft))
+		d.longestTimes[group] = longest - time.Duration(longestDecay*float64(longest-timeLeft))
 	}
 	if lost := longest - timeLeft; ok && lost >= minTimeLost {
 		return lost
