--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -176,6 +176,14 @@
 }
 
 func newHost(t *testing.T, id, dataCentre, region string, c steer.Catalog) (*node.Node, *platformFuncs, setup.Settings) {
+	t.Helper()
+	return newHostWith(t, id, dataCentre, region, c, func(*node.Config) {})
+}
+
+// newHostWith returns a host with a changed configuration.
+func newHostWith(
+	t *testing.T, id, dataCentre, region string, c steer.Catalog, change func(*node.Config),
+) (*node.Node, *platformFuncs, setup.Settings) {
 	t.Helper()
 	s := setup.Settings{
 		HostID:              id,
@@ -195,7 +203,7 @@
 		QuotaWindowSeconds:  5,
 	}
 	var funcs platformFuncs
-	n, err := node.New(node.Config{
+	config := node.Config{
 		Settings: s,
 		Catalog:  c,
 		Headers:  headerNames,
@@ -209,7 +217,9 @@
 				return http.NotFoundHandler()
 			},
 		},
-	})
+	}
+	change(&config)
+	n, err := node.New(config)
 	assert.NilError(t, err)
 	return n, &funcs, s
 }
--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -83,7 +83,7 @@
 		keyvals = append(keyvals, "reason", refusal.Reason, "verdict", refusal.Verdict, "retry-after", refusal.RetryAfter)
 	}
 	if j.admission.Refused {
-		keyvals = append(keyvals, "level", j.admission.Level, "share", j.admission.Share)
+		keyvals = append(keyvals, "level", fmt.Sprintf("%.3f", j.admission.Level), "share", fmt.Sprintf("%.3f", j.admission.Share))
 	}
 	rejected := refusal != nil && refusal.Reason == steer.ReasonDeadly
 	if rejected || slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.broke }) {
