--- a/internal/edge/admit/pool.go
+++ b/internal/edge/admit/pool.go
@@ -30,14 +30,16 @@
 	// advanceInterval is the minimum time between two updates of a level. Updates happen as requests arrive.
 	advanceInterval = 50 * time.Millisecond
 
-	// shareInterval is the minimum time between two updates of fair shares, which take some microseconds.
-	shareInterval = 200 * time.Millisecond
+	// shareInterval is the minimum time between two updates of fair shares. Each updates one priority, in turn, because it takes
+	// several microseconds, and a decision 20 at most.
+	shareInterval = 70 * time.Millisecond
 
-	// maxSample bounds what a request counts in the mean, in requests per slot. Targets take queues of up to three.
-	maxSample = 2.5
+	// maxSample bounds what a request counts in the mean, in requests per slot, so that a few busy targets do not raise it while
+	// others have room.
+	maxSample = 1.6
 
 	// lateSample is what a late answer of a target with a queue counts in the mean, in requests per slot.
-	lateSample = 2.0
+	lateSample = 1.4
 
 	// unknownSample is what a timely answer counts in the mean if the load of its target is not known.
 	unknownSample = 0.5
@@ -58,14 +60,14 @@
 
 	// freePressure is the mean load per slot up to which there is free capacity, and the level is 0. fullPressure is that at
 	// which all slots are in use most of the time, and further requests wait.
-	freePressure = 0.8
-	fullPressure = 1.05
+	freePressure = 0.9
+	fullPressure = 1.1
 
 	// growth is the fraction by which more is admitted than is answered, for each request per slot below fullPressure, so that
 	// free slots are used. shrinkage is the fraction by which less is admitted for each above it, so that queues are worked off.
 	// A larger one makes the level oscillate, since the load of targets follows the level by some hundred milliseconds.
 	growth    = 3.0
-	shrinkage = 1.2
+	shrinkage = 2.0
 
 	// minAdmitted is the smallest fraction of the demand that is admitted.
 	minAdmitted = 0.01
@@ -92,7 +94,7 @@
 
 // noRoomSamples holds, by priority, what a refusal counts in the mean, in requests per slot. The placer refuses less urgent
 // requests at a lower load of their target.
-var noRoomSamples = [priorityLevels]float64{2.5, 2.0, 1.4}
+var noRoomSamples = [priorityLevels]float64{maxSample, maxSample, 1.0}
 
 // pool is the state of one service in one region.
 type pool struct {
@@ -110,6 +112,7 @@
 	priorities [priorityLevels]priority
 	peers      map[string]*peerReport // By host, or by data centre if the hosts report together.
 	sharedAt   time.Time              // Last update of fair shares.
+	nextShared int                    // Priority whose fair shares were updated then.
 	namedAt    time.Time              // When a report last named customers.
 }
 
@@ -143,6 +146,7 @@
 	}
 	for i := range p.priorities {
 		p.priorities[i].customers = map[string]*usage{}
+		p.priorities[i].fairShare = math.Inf(1)
 	}
 	return p
 }
@@ -261,9 +265,8 @@
 		return
 	}
 	p.sharedAt = now
-	for i := range p.priorities {
-		p.priorities[i].setFairShare(now, p.peerCustomers(now, i))
-	}
+	p.nextShared = (p.nextShared + 1) % priorityLevels
+	p.priorities[p.nextShared].setFairShare(now, p.peerCustomers(now, p.nextShared))
 }
 
 // late reports whether a caller that returns cannot be answered in time any more. The host does not know how long an answer
--- a/internal/edge/node/node_test.go
+++ b/internal/edge/node/node_test.go
@@ -178,12 +178,12 @@
 
 func newHost(t *testing.T, id, dataCentre, region string, c steer.Catalog) (*node.Node, *platformFuncs, setup.Settings) {
 	t.Helper()
-	return newHostWith(t, id, dataCentre, region, c, func(*setup.Settings) {})
+	return newHostWith(t, id, dataCentre, region, c, func(*node.Config) {})
 }
 
-// newHostWith starts a host with settings that the given function changes.
+// newHostWith returns a host with a changed configuration.
 func newHostWith(
-	t *testing.T, id, dataCentre, region string, c steer.Catalog, change func(*setup.Settings),
+	t *testing.T, id, dataCentre, region string, c steer.Catalog, change func(*node.Config),
 ) (*node.Node, *platformFuncs, setup.Settings) {
 	t.Helper()
 	s := setup.Settings{
@@ -203,9 +203,8 @@
 		RetryRatio:          0.2,
 		QuotaWindowSeconds:  5,
 	}
-	change(&s)
 	var funcs platformFuncs
-	n, err := node.New(node.Config{
+	config := node.Config{
 		Settings: s,
 		Catalog:  c,
 		Headers:  headerNames,
@@ -219,7 +218,9 @@
 				return http.NotFoundHandler()
 			},
 		},
-	})
+	}
+	change(&config)
+	n, err := node.New(config)
 	assert.NilError(t, err)
 	return n, &funcs, s
 }
@@ -374,7 +375,8 @@
 	var directories []*platformFuncs
 	var addresses []netip.AddrPort
 	for i := range links {
-		n, funcs, settings := newHostWith(t, fmt.Sprint("host-", i), "golfo-a", "golfo", platform, func(s *setup.Settings) {
+		n, funcs, settings := newHostWith(t, fmt.Sprint("host-", i), "golfo-a", "golfo", platform, func(c *node.Config) {
+			s := &c.Settings
 			s.DirectoryHosts, s.LinkMbps, s.CPUShare, s.Cores = steer.ModeAuto, links[i], 0.1, 10*cores[i]
 		})
 		nodes, directories, addresses = append(nodes, n), append(directories, funcs), append(addresses, settings.Listen)
