Explain where a host of serve would send a request

Cause: a log line says where a request went and not why. Learned speeds, weights, load limits and shares of regions are in no log line or metric, so nobody on call can tell which of them decided (docs/hard-load.md, part 9).

Placer.choose is split: recordArrival counts the request, decide returns the region, both targets of the object, the chosen one and the rule, and choose takes the token. Placer.Explain runs recordArrival and decide on a copy of the service's state, because a decision brings shares, token buckets and estimates up to date. Only the copy is made under the mutex. pass.Explain finds route, services with weights, customer by name and quota. API keys are no part of a query; a parameter that is a key of the plan is rejected without being shown. belief.View names the draining targets. The admission control is not asked.

Five usage errors are added to TestUsageErrors.

--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -283,6 +283,7 @@
 	v := &View{
 		Index:          t.index,
 		Targets:        map[string][]*RegisteredTarget{},
+		Draining:       map[string][]string{},
 		Emptied:        map[string]bool{},
 		Rejected:       map[uint64]bool{},
 		Listed:         t.listed,
@@ -301,7 +302,9 @@
 			v.Rejected[fact.Rejected] = true
 		case fact.Host != nil:
 			v.Hosts = append(v.Hosts, *fact.Host)
-		case fact.Endpoint != nil && !fact.Endpoint.Draining:
+		case fact.Endpoint != nil && fact.Endpoint.Draining:
+			v.Draining[fact.Endpoint.Service] = append(v.Draining[fact.Endpoint.Service], fact.Endpoint.ID)
+		case fact.Endpoint != nil:
 			e := fact.Endpoint
 			coldUntil := t.coldUntil[e.ID]
 			if hinted := t.hint.Cold[e.ID]; hinted.After(coldUntil) {
@@ -314,6 +317,9 @@
 			})
 		}
 	}
+	for _, ids := range v.Draining {
+		slices.Sort(ids)
+	}
 	for _, list := range v.Targets {
 		slices.SortFunc(list, func(a, b *RegisteredTarget) int { return cmp.Compare(a.ID, b.ID) })
 	}
--- a/internal/edge/belief/view.go
+++ b/internal/edge/belief/view.go
@@ -13,6 +13,7 @@
 type View struct {
 	Index          *index.Index                   // Nil before the first plan.
 	Targets        map[string][]*RegisteredTarget // Targets by service, sorted by id, without draining ones.
+	Draining       map[string][]string            // IDs of draining targets by service, sorted.
 	Emptied        map[string]bool                // Data centres whose targets get no requests.
 	Rejected       map[uint64]bool                // Keys of requests that are rejected, as in steer.Fact.
 	Hosts          []steer.HostEntry              // Registered hosts, sorted by id; may include this host.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -347,6 +347,7 @@
 	n.serveCallers(p.directory, c.PlatformAPI.Directory(n.lookup))
 	scrape := http.NewServeMux()
 	scrape.Handle("GET /metrics", telem.MetricsHandler(c.Metrics))
+	scrape.Handle("GET "+pass.ExplainPath, handler.ExplainHandler(s.HostID, s.DataCentre))
 	n.serve(p.metrics, scrape)
 }
 
--- a/internal/edge/place/copies.go
+++ b/internal/edge/place/copies.go
@@ -77,13 +77,14 @@
 	return result
 }
 
-// chooseCopy returns the first target for an object in a region, and the one of its two targets at which a request is expected to take
-// less time. If the alternate does not have the object in its cache, it counts only if the request would miss its objective at the
-// first target, and then only for its shorter queue, or if the first target is so slow that loading the object takes less time.
-func (s *service) chooseCopy(now time.Time, request *Request, hash uint64, region string) (first, chosen *targetState) {
+// chooseCopy returns the first target for an object in a region, the alternate, which is nil if there is none, and the one of them at
+// which a request is expected to take less time. If the alternate does not have the object in its cache, it counts only if the request
+// would miss its objective at the first target, and then only for its shorter queue, or if the first target is so slow that loading the
+// object takes less time.
+func (s *service) chooseCopy(now time.Time, request *Request, hash uint64, region string) (first, alternate, chosen *targetState) {
 	c := s.copiesOf(now, request, hash, region)
 	if c.alternate == nil {
-		return c.first, c.first
+		return c.first, c.alternate, c.first
 	}
 	queue, alternateQueue := c.first.queue(now), c.alternate.queue(now)
 	slowness, alternateSlowness := c.first.noticedSlowness(now), c.alternate.noticedSlowness(now)
@@ -96,9 +97,9 @@
 		better = alternateQueue+uncachedMargin < queue || slowness > uncachedCost*alternateSlowness
 	}
 	if better {
-		return c.first, c.alternate
+		return c.first, c.alternate, c.alternate
 	}
-	return c.first, c.first
+	return c.first, c.alternate, c.first
 }
 
 // queue returns the length of the queue that one more request finds, in requests for each slot.
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -158,19 +158,20 @@
 	}
 	s.refresh(now)
 	position, hash := positionAndHash(request)
-	best, home, reason := s.choose(now, request, position, hash, p.config)
+	d := s.choose(now, request, position, hash, p.config)
+	best := d.target
 	if best == nil {
-		if reason == steer.ReasonCapacity || reason == steer.ReasonTargetLimit {
+		if d.reason == steer.ReasonCapacity || d.reason == steer.ReasonTargetLimit {
 			s.yielding.record(now, request.Priority, false)
 		}
-		return Choice{}, newRefusal(reason, s.retryAfter())
+		return Choice{}, newRefusal(d.reason, s.retryAfter())
 	}
 	s.yielding.record(now, request.Priority, true)
 	choice := Choice{
 		Target:        best.target,
 		EstimatedLoad: best.estimatedLoad(now),
 		ReportAge:     best.reportAge(now),
-		Home:          home,
+		Home:          best == d.first,
 		Limit:         best.namedLimit(),
 		class:         request.Class,
 		loadPerSlot:   best.loadPerSlot(now),
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -279,47 +279,88 @@
 	return float64(s.spilled) < s.spillFraction*float64(s.requests)
 }
 
-// choose returns the target for a request and whether it is the first choice for the request's key, or the reason for a
-// refusal. The first choice is the target that the key prefers in the key's region. It is used while it has room.
-func (s *service) choose(now time.Time, request Request, position float64, hash uint64, c Config) (*targetState, bool, steer.Reason) {
+// decision is the choice of a target for a request, or the reason for its refusal, with what led to it.
+type decision struct {
+	keyRegion string       // Region of the key by the shares of regions.
+	region    string       // Region in which a target was looked for; differs from keyRegion if that cannot be used.
+	first     *targetState // First choice for the key; nil if no target is usable.
+	alternate *targetState // Second target of the object; nil without one.
+	target    *targetState // Nil for a refusal.
+	rule      Rule         // Rule that chose target.
+	reason    steer.Reason // Reason for the refusal; empty if there is a target.
+}
+
+// choose counts a request and returns the target for it, or the reason for a refusal.
+func (s *service) choose(now time.Time, request Request, position float64, hash uint64, c Config) decision {
+	s.recordArrival(now, &request)
+	d := s.decide(now, request, position, hash, c)
+	if d.target != nil {
+		d.target.takeToken(now)
+	}
+	return d
+}
+
+// recordArrival counts a request and determines whether it leaves targets with limits to more urgent ones.
+func (s *service) recordArrival(now time.Time, request *Request) {
 	s.requests++
 	s.lastRequest = now
-	s.class(request.Class).request(now, &request)
+	s.class(request.Class).request(now, request)
 	if onlyRegion := request.onlyRegion(); onlyRegion != "" {
 		s.pinnedRequests[onlyRegion]++
 	}
 	request.avoidsLimits = s.yielding.withholds(now, request.Priority)
-	keyRegion := region.At(s.shares, position)
-	if !request.allowsRegion(keyRegion) || s.capacities[keyRegion] == 0 {
-		keyRegion = s.fallbackRegion(request, c)
+}
+
+// decide returns the target for a request or the reason for a refusal. The first choice is the target that the key prefers in the
+// key's region. It is used while it has room. Token buckets and estimates are brought up to date on the way, and a request that finds
+// its region full is counted.
+func (s *service) decide(now time.Time, request Request, position float64, hash uint64, c Config) decision {
+	d := decision{
+		keyRegion: region.At(s.shares, position),
+		rule:      RuleFirst,
 	}
-	if keyRegion == "" {
-		return nil, false, steer.ReasonNoTarget
+	d.region = d.keyRegion
+	if !request.allowsRegion(d.region) || s.capacities[d.region] == 0 {
+		d.region = s.fallbackRegion(request, c)
 	}
-	home := s.home(now, request, hash, func(other string) bool { return other == keyRegion })
+	if d.region == "" {
+		d.reason = steer.ReasonNoTarget
+		return d
+	}
+	home := s.home(now, request, hash, func(other string) bool { return other == d.region })
 	if home == nil {
-		home = s.home(now, request, hash, func(other string) bool { return other != keyRegion && request.allowsRegion(other) })
+		d.rule = RuleOtherRegion
+		home = s.home(now, request, hash, func(other string) bool { return other != d.region && request.allowsRegion(other) })
 	}
 	if home == nil {
-		return nil, false, s.noTargetReason(now, &request)
+		d.reason = s.noTargetReason(now, &request)
+		return d
 	}
+	d.first = home
 	t := home
 	if s.usesCopies() {
-		home, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
+		d.first, d.alternate, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
+		if t != d.first {
+			d.rule = RuleAlternate
+		}
 	}
 	if t.loadPerSlot(now) >= s.loadLimit(now, &request, t) || s.full(t) {
-		if t = s.spareLimited(now, request, hash, keyRegion); t == nil {
-			t = s.overflow(now, request, hash, keyRegion)
+		d.rule = RuleLimited
+		if t = s.spareLimited(now, request, hash, d.region); t == nil {
+			d.rule = RuleOverflow
+			t = s.overflow(now, request, hash, d.region)
 		}
 		if t == nil {
-			return nil, false, steer.ReasonCapacity
+			d.reason = steer.ReasonCapacity
+			return d
 		}
 	}
 	if s.expectedLatency(now, t, &request) > request.TimeLeft.Seconds() {
-		return nil, false, steer.ReasonDeadline
+		d.reason = steer.ReasonDeadline
+		return d
 	}
-	t.takeToken(now)
-	return t, t == home, ""
+	d.target = t
+	return d
 }
 
 // overflow returns the target that the key prefers in the other regions, if that has room and one more request may leave its
--- a/internal/edge/speed/speed.go
+++ b/internal/edge/speed/speed.go
@@ -165,6 +165,13 @@
 	e.observedAt = now
 }
 
+// Clone returns a copy that shares no state with the estimator. It has no samples for other hosts.
+func (e *Estimator) Clone() *Estimator {
+	c := *e
+	c.points, c.pending = slices.Clone(e.points), nil
+	return &c
+}
+
 // Gap returns the time since the last own sample, or 0 if there was none.
 func (e *Estimator) Gap(now time.Time) time.Duration {
 	if e.observedAt.IsZero() {
--- a/internal/ops/cmds/cmds_test.go
+++ b/internal/ops/cmds/cmds_test.go
@@ -56,6 +56,11 @@
 		"status --admin x:1":                                    `--admin: "x:1" must be`,
 		"explain --service s --path x":                          `--path: "x" must start with /`,
 		"explain --service s --client 10.0.0.1:9":               "an IP address without a port",
+		"explain --service s --object 1":                        "--object: needs --metrics",
+		"explain --metrics x:1 --class c":                       `--metrics: "x:1" must be an IP address`,
+		"explain --metrics 127.0.0.1:1 --host h":                "--host and --path are given together",
+		"explain --metrics 127.0.0.1:1":                         "--class or --service is required",
+		"explain --metrics 127.0.0.1:1 --class c --method POST": "--method: does not go with --metrics",
 	} {
 		assertContains(t, runCommand(t, 2, strings.Fields(strings.Replace(args, "DIR", dir, 1))...), want)
 	}
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -19,6 +19,7 @@
 
 	"monsoonhub.example/steer/internal/api/gen/http/operator/client"
 	"monsoonhub.example/steer/internal/api/gen/operator"
+	"monsoonhub.example/steer/internal/edge/pass"
 )
 
 // suspectAfterMs is the time in milliseconds without a heartbeat after which a member is suspected to have failed.
@@ -115,17 +116,30 @@
 	var flags queryFlags
 	var payload operator.ExplainPayload
 	var customer, caller string
+	var edge edgeFlags
 	c := &cobra.Command{
 		Use:   "explain --service NAME",
 		Short: "Explain how a host would handle a request now",
 		Long: "Explains which hosts a look-up would return and why, and which customer, target or refusal a request " +
-			"would get and why. The host answers with the code that serves requests.",
-		Example: "  monsoonhub explain --service reservas --customer naviera-austral --method POST --path /slots",
-		Args:    asUsageError(cobra.NoArgs),
+			"would get and why. The host answers with the code that serves requests. With --metrics it asks a host of " +
+			"serve, for the request with --host and --path, or for a route by --class or --service.",
+		Example: "  monsoonhub explain --service reservas --customer naviera-austral --method POST --path /slots\n" +
+			"  monsoonhub explain --metrics 127.0.0.1:7640 --host h.example --path /b/ --customer naviera --object 17",
+		Args: asUsageError(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := flags.check(); err != nil {
 				return err
 			}
+			if err := edge.check(c); err != nil {
+				return err
+			}
+			if edge.metrics != "" {
+				return edge.run(c, pass.ExplainQuery{
+					Service:  payload.Service,
+					Customer: customer,
+					Path:     payload.Path,
+				}, flags.output == outputJSON)
+			}
 			if err := checkPayload(&payload, caller); err != nil {
 				return err
 			}
@@ -150,7 +164,8 @@
 	c.Flags().StringVar(&customer, "customer", "", "customer name; empty for a request without a key")
 	c.Flags().StringVar(&caller, "client", "", "IP address of the caller; shows the look-up answer too")
 	c.Flags().StringVar(&payload.Method, "method", http.MethodGet, "HTTP method")
-	c.Flags().StringVar(&payload.Path, "path", "/", "path below the service, starting with /")
+	c.Flags().StringVar(&payload.Path, "path", "/", "path below the service, starting with /; with --metrics the whole path")
+	edge.register(c)
 	return c
 }
 
