--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -461,8 +461,8 @@
 	// usualWork is the work factor, in percent, of a target whose work takes as long as usual. minWorkFactor and maxWorkFactor bound
 	// what is believed.
 	usualWork     = 100.0
-	minWorkFactor = 0.1
-	maxWorkFactor = 100.0
+	minWorkFactor = 0.25
+	maxWorkFactor = 10.0
 )
 
 // parseLoad parses a load header: running requests, waiting requests, slots and optionally the work factor in percent. Figures
