--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -458,11 +458,8 @@
 	// loadFigures is the number of figures that each load report has. More may follow.
 	loadFigures = 3
 
-	// usualWork is the work factor, in percent, of a target whose work takes as long as usual. minWorkFactor and maxWorkFactor bound
-	// what is believed.
-	usualWork     = 100.0
-	minWorkFactor = 0.25
-	maxWorkFactor = 10.0
+	// usualWork is the work factor, in percent, of a target whose work takes as long as usual.
+	usualWork = 100.0
 )
 
 // parseLoad parses a load header: running requests, waiting requests, slots and optionally the work factor in percent. Figures
@@ -494,10 +491,10 @@
 // parseWorkFactor parses a work factor in percent. It returns 0 if the value is malformed.
 func parseWorkFactor(value string) float64 {
 	percent, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || !(percent > 0) {
+	if err != nil || !(percent > 0) || math.IsInf(percent, 1) {
 		return 0
 	}
-	return min(max(percent/usualWork, minWorkFactor), maxWorkFactor)
+	return percent / usualWork
 }
 
 // parseLimit returns the limit in the headers of an answer. It returns nil if the value is malformed.
