Refuse at admission only what the placer would refuse

Cause: the level followed the load at the chosen targets and late answers. Targets work on objects that only they keep, so that load is high while other targets are free.

Change: the level follows the fraction of the admitted requests that the placer refuses for lack of capacity, or that targets shed while their slots are in use. From 37 % on, so many requests are admitted that the placer still refuses this fraction, never fewer than it places. Loads, late answers and timeouts do not count.

--- a/admission.go
+++ b/admission.go
@@ -6,9 +6,9 @@
 	Service   string
 	Region    string
 	Samples   float64   // Recent samples of what requests found, with older ones counting less.
-	Sum       float64   // Sum of the samples, in requests per slot.
+	Sum       float64   // Sum of the samples: 0 for a request that was placed, 1 for one that was refused.
 	Arriving  float64   // Requests per second.
-	Answered  float64   // Answers of targets per second.
+	Placed    float64   // Requests per second for which a target was found.
 	Demand    []float64 // Requests per second that can be answered in time, by priority.
 	Late      []float64 // Requests per second that cannot, by priority.
 	Admitted  []float64 // Admitted requests per second, by priority.
--- a/internal/edge/admit/peers.go
+++ b/internal/edge/admit/peers.go
@@ -16,8 +16,9 @@
 	// customerInterval is the minimum time between two reports with customers.
 	customerInterval = time.Second
 
-	// minReportedPressure is the pressure below which a host without a level reports nothing.
-	minReportedPressure = 0.8
+	// minReportedSum is the sum of samples below which a host without a level reports nothing. A host reports for about a second
+	// after a refusal, so that hosts with few refusals count beside those with many.
+	minReportedSum = 0.02
 
 	// maxReportedCustomers bounds the customers in a report. Max-min fairness limits the largest customers only, so the demand
 	// of the others need not be known exactly.
@@ -109,7 +110,7 @@
 	sum.Samples += r.Samples
 	sum.Sum += r.Sum
 	sum.Arriving += r.Arriving
-	sum.Answered += r.Answered
+	sum.Placed += r.Placed
 	sum.Demand = addRates(sum.Demand, r.Demand)
 	sum.Late = addRates(sum.Late, r.Late)
 	sum.Admitted = addRates(sum.Admitted, r.Admitted)
@@ -148,15 +149,15 @@
 	return out
 }
 
-// peerPressure returns the number and sum of the samples of other hosts, with their present weight.
-func (p *pool) peerPressure(now time.Time) (samples, sum float64) {
+// peerOutcomes returns the number and sum of the samples of other hosts, with their present weight.
+func (p *pool) peerOutcomes(now time.Time) (samples, sum float64) {
 	for id, r := range p.peers {
 		age := now.Sub(r.receivedAt)
 		if age > reportLife {
 			delete(p.peers, id)
 			continue
 		}
-		f := decay(age, pressureDecay)
+		f := decay(age, outcomeDecay)
 		samples += f * r.report.Samples
 		sum += f * r.report.Sum
 	}
--- a/internal/edge/admit/pool.go
+++ b/internal/edge/admit/pool.go
@@ -21,8 +21,8 @@
 	// target that knows the object takes a third of the time that it takes otherwise.
 	minWorkFraction = 0.4
 
-	// pressureDecay is the time constant of the mean of what requests found. It allows for a recovery within a second.
-	pressureDecay = 300 * time.Millisecond
+	// outcomeDecay is the time constant of the mean of what requests found. It allows for a recovery within a second.
+	outcomeDecay = 300 * time.Millisecond
 
 	// serviceDecay is the time constant of the rates of answers and refusals.
 	serviceDecay = 700 * time.Millisecond
@@ -33,22 +33,13 @@
 	// shareInterval is the minimum time between two updates of fair shares, which take some microseconds.
 	shareInterval = 200 * time.Millisecond
 
-	// maxSample bounds what a request counts in the mean, in requests per slot, so that a few busy targets do not raise it while
-	// others have room.
-	maxSample = 1.6
-
-	// lateSample is what a late answer of a target with a queue counts in the mean, in requests per slot.
-	lateSample = 1.4
-
-	// unknownSample is what a timely answer counts in the mean if the load of its target is not known.
-	unknownSample = 0.5
-
 	// minShedLoad is the load per slot from which a refusal by a target shows a lack of capacity. A target that refuses while
 	// its slots are free is at fault, and refusing further requests at the host would not help it.
 	minShedLoad = 0.8
 
-	// priorWeight is the weight of a load of zero in the mean, in samples. It makes the level fall when nothing is heard.
-	priorWeight = 0.5
+	// priorWeight is the weight of placed requests that are assumed in the mean, in samples. It makes the level fall when nothing
+	// is heard, and keeps a single refusal from raising it.
+	priorWeight = 3.0
 
 	// maxSamples bounds the number of samples in the mean, so that the level falls within a second or two when nothing is heard.
 	maxSamples = 30.0
@@ -57,24 +48,33 @@
 	// up to half a second old, and a mean of old figures alone makes the level oscillate.
 	maxPeerWeight = 3.0
 
-	// freePressure is the mean load per slot up to which there is free capacity, and the level is 0. fullPressure is that at
-	// which all slots are in use most of the time, and further requests wait.
-	freePressure = 0.9
-	fullPressure = 1.1
+	// minTolerated is the fraction of the admitted requests that the placer may refuse at least before less is admitted. Arrivals at
+	// a target vary, and with fewer refusals, slots stay free in between: with 0.28, 0.6 % fewer callers are served at a demand of
+	// 1.5 times the capacity, and 1 % fewer in a burst.
+	minTolerated = 0.37
+
+	// toleratedGrowth is the increase of that fraction when hardly anything is admitted, most of it when fewer than one in ten is,
+	// which means that callers return at once. Without it, 3 % fewer of these callers are served, and hosts that hear no others
+	// admit up to 1.8 times as much as others.
+	toleratedGrowth   = 0.4
+	toleratedExponent = 8
+
+	// freeFraction is the fraction of what is tolerated below which there is capacity for every request.
+	freeFraction = 0.5
 
-	// growth is the fraction by which more is admitted than is answered, for each request per slot below fullPressure, so that
-	// free slots are used. shrinkage is the fraction by which less is admitted for each above it, so that queues are worked off.
-	// A larger one makes the level oscillate, since the load of targets follows the level by some hundred milliseconds.
-	growth    = 3.0
-	shrinkage = 2.0
+	// minLateFraction is the chance of requests that can only be answered late, as a fraction of the mean of their priority, if all
+	// requests are returns. Otherwise slots stay free while late callers wait, and 1 % fewer are served when callers return at
+	// once. lateExponent makes it small while callers respect Retry-After.
+	minLateFraction = 0.35
+	lateExponent    = 8
 
 	// minAdmitted is the smallest fraction of the demand that is admitted.
 	minAdmitted = 0.01
 
 	// maxRise and maxFall bound the change of the admitted fraction in a second, as powers of e: the level rises from 0 to 0.95
-	// within a second, and falls as much within 0.6 s.
+	// within a second, and falls as much within 0.43 s.
 	maxRise = 3.0
-	maxFall = 5.0
+	maxFall = 7.0
 
 	// latencyWeight is the weight of one answer in the mean latency of answers.
 	latencyWeight = 0.02
@@ -91,17 +91,14 @@
 	returnFactor = 1.6
 )
 
-// noRoomSamples holds, by priority, what a refusal counts in the mean, in requests per slot. The placer refuses less urgent
-// requests at a lower load of their target.
-var noRoomSamples = [priorityLevels]float64{maxSample, maxSample, 1.0}
-
 // pool is the state of one service in one region.
 type pool struct {
 	admitted   float64 // Fraction of the demand.
 	advancedAt time.Time
 
-	own       pressure
+	own       outcomes
 	arrivals  rate
+	placed    rate // Requests for which a target was found that did not shed them.
 	answers   rate
 	refusals  rate
 	latency   float64 // Mean latency of answers, in seconds.
@@ -114,25 +111,25 @@
 	namedAt    time.Time              // When a report last named customers.
 }
 
-// pressure is an exponentially decaying mean of what requests found.
-type pressure struct {
+// outcomes is an exponentially decaying mean of what requests found.
+type outcomes struct {
 	samples float64
 	sum     float64
 	at      time.Time
 }
 
 // values returns the number and sum of the samples with their present weight.
-func (p *pressure) values(now time.Time) (samples, sum float64) {
-	f := decay(now.Sub(p.at), pressureDecay)
-	return p.samples * f, p.sum * f
+func (o *outcomes) values(now time.Time) (samples, sum float64) {
+	f := decay(now.Sub(o.at), outcomeDecay)
+	return o.samples * f, o.sum * f
 }
 
-func (p *pressure) add(now time.Time, sample float64) {
-	p.samples, p.sum = p.values(now)
-	if p.samples > maxSamples {
-		p.samples, p.sum = maxSamples, p.sum*maxSamples/p.samples
+func (o *outcomes) add(now time.Time, sample float64) {
+	o.samples, o.sum = o.values(now)
+	if o.samples > maxSamples {
+		o.samples, o.sum = maxSamples, o.sum*maxSamples/o.samples
 	}
-	p.samples, p.sum, p.at = p.samples+1, p.sum+sample, now
+	o.samples, o.sum, o.at = o.samples+1, o.sum+sample, now
 }
 
 func newPool(now time.Time) *pool {
@@ -148,22 +145,19 @@
 	return p
 }
 
-// observe records what became of an admitted request.
+// observe records what became of an admitted request. Late answers and timeouts do not count as refusals: callers prefer a late
+// answer to none.
 func (p *pool) observe(now time.Time, o Outcome) {
 	switch o.Kind {
 	case Placed:
-		if o.LoadKnown {
-			p.own.add(now, math.Min(o.Load, maxSample))
-		}
+		p.placed.add(now, serviceDecay, 1)
+		p.own.add(now, 0)
 	case NoRoom:
-		p.own.add(now, noRoomSamples[priorityIndex(o.Priority)])
+		p.own.add(now, 1)
 	case Shed:
+		p.placed.add(now, serviceDecay, -1)
 		if !o.LoadKnown || o.Load >= minShedLoad {
-			p.own.add(now, maxSample)
-		}
-	case TimedOut:
-		if !o.LoadKnown || o.Load >= fullPressure {
-			p.own.add(now, lateSample)
+			p.own.add(now, 1)
 		}
 	case Answered:
 		p.answers.add(now, serviceDecay, 1)
@@ -171,17 +165,10 @@
 			p.latency = o.Latency.Seconds()
 		}
 		p.latency += latencyWeight * (o.Latency.Seconds() - p.latency)
-		late := o.Objective > 0 && o.Latency > o.Objective
-		switch {
-		case late && (!o.LoadKnown || o.Load >= fullPressure):
-			p.own.add(now, lateSample)
-		case !late && !o.LoadKnown:
-			p.own.add(now, unknownSample)
-		}
 	}
 }
 
-// advance moves the admitted fraction towards what the pressure calls for, and recomputes what follows from it.
+// advance moves the admitted fraction towards the goal, and recomputes what follows from it.
 func (p *pool) advance(now time.Time) {
 	elapsed := now.Sub(p.advancedAt)
 	if elapsed < advanceInterval {
@@ -196,33 +183,38 @@
 	}
 }
 
-// goal returns the fraction of the demand that is to be admitted. While all slots are in use, targets answer as many requests as
-// there is capacity for, and about as many are admitted.
+// goal returns the fraction of the demand that is to be admitted: as many as are placed, and so many more that the placer refuses
+// the tolerated fraction of what is admitted. When it refuses fewer, the fraction grows.
 func (p *pool) goal(now time.Time) float64 {
-	pressure := p.pressure(now)
-	arriving, answered := p.rates(now)
-	if pressure < freePressure || arriving == 0 {
+	refused := p.refusedFraction(now)
+	arriving, placed := p.rates(now)
+	tolerated := minTolerated + toleratedGrowth*math.Pow(1-p.admitted, toleratedExponent)
+	if refused < freeFraction*tolerated || arriving == 0 {
 		return 1
 	}
-	wanted := answered * (1 + growth*math.Max(0, fullPressure-pressure) - shrinkage*math.Max(0, pressure-fullPressure))
-	return math.Max(0, math.Min(1, wanted/arriving))
+	wanted := placed / (1 - tolerated)
+	if refused < tolerated {
+		wanted *= math.Pow(tolerated/refused, 2)
+	}
+	return math.Min(1, wanted/arriving)
 }
 
-// rates returns the requests that arrive and that are answered in a second at all known hosts.
-func (p *pool) rates(now time.Time) (arriving, answered float64) {
-	arriving, answered = p.arrivals.perSecond(now, serviceDecay), p.answers.perSecond(now, serviceDecay)
+// rates returns the requests that arrive and that are placed in a second at all known hosts.
+func (p *pool) rates(now time.Time) (arriving, placed float64) {
+	arriving, placed = p.arrivals.perSecond(now, serviceDecay), math.Max(0, p.placed.perSecond(now, serviceDecay))
 	for _, r := range p.peers {
 		if now.Sub(r.receivedAt) <= reportLife {
-			arriving, answered = arriving+r.report.Arriving, answered+r.report.Answered
+			arriving, placed = arriving+r.report.Arriving, placed+r.report.Placed
 		}
 	}
-	return arriving, answered
+	return arriving, placed
 }
 
-// pressure returns the mean of what requests found at this host and the others of the data centre, in requests per slot.
-func (p *pool) pressure(now time.Time) float64 {
+// refusedFraction returns the fraction of the admitted requests that the placer refused at this host and the others of the data
+// centre.
+func (p *pool) refusedFraction(now time.Time) float64 {
 	samples, sum := p.own.values(now)
-	peerSamples, peerSum := p.peerPressure(now)
+	peerSamples, peerSum := p.peerOutcomes(now)
 	if limit := maxPeerWeight * math.Max(1, samples); peerSamples > limit {
 		peerSum *= limit / peerSamples
 		peerSamples = limit
@@ -279,7 +271,7 @@
 	case r.TimeLeft.Seconds() < minWorkFraction*p.latency:
 		return l.minChance // Not 0: the latency of answers is only learned from requests that are admitted.
 	case late:
-		return math.Max(l.minChance, l.lateChance)
+		return math.Max(l.minChance, math.Max(l.lateChance, minLateFraction*math.Pow(p.returning, lateExponent)*l.mean))
 	default:
 		return math.Max(l.minChance, l.chance(now, r.Customer, u, again))
 	}
@@ -321,10 +313,10 @@
 	return max(time.Millisecond, time.Duration(wait*float64(time.Second)))
 }
 
-// report returns what other hosts need to know, or false if there is no pressure.
+// report returns what other hosts need to know, or false if there is no lack of capacity.
 func (p *pool) report(now time.Time, key poolKey) (steer.AdmissionReport, bool) {
 	samples, sum := p.own.values(now)
-	if p.admitted == 1 && sum < minReportedPressure*(samples+priorWeight) {
+	if p.admitted == 1 && sum < minReportedSum {
 		return steer.AdmissionReport{}, false
 	}
 	r := steer.AdmissionReport{
@@ -334,7 +326,7 @@
 		Sum:     sum,
 
 		Arriving: p.arrivals.perSecond(now, serviceDecay),
-		Answered: p.answers.perSecond(now, serviceDecay),
+		Placed:   math.Max(0, p.placed.perSecond(now, serviceDecay)),
 	}
 	for i := range p.priorities {
 		r.Demand = append(r.Demand, p.priorities[i].demand.perSecond(now, customerDecay))
--- a/internal/peer/gossip/admission.go
+++ b/internal/peer/gossip/admission.go
@@ -25,7 +25,7 @@
 	Samples   uint32   `cbor:"samples"` // Hundredths.
 	Sum       uint32   `cbor:"sum"`     // Hundredths.
 	Arriving  uint32   `cbor:"arriving"`
-	Answered  uint32   `cbor:"answered"`
+	Placed    uint32   `cbor:"placed"`
 	Demand    []uint32 `cbor:"demand,omitempty"`
 	Late      []uint32 `cbor:"late,omitempty"`
 	Admitted  []uint32 `cbor:"admitted,omitempty"`
@@ -106,7 +106,7 @@
 			Samples:  scaled(r.Samples),
 			Sum:      scaled(r.Sum),
 			Arriving: scaled(r.Arriving),
-			Answered: scaled(r.Answered),
+			Placed:   scaled(r.Placed),
 			Demand:   scaledList(r.Demand),
 			Late:     scaledList(r.Late),
 			Admitted: scaledList(r.Admitted),
@@ -128,7 +128,7 @@
 			Samples:  unscaled(n.Samples),
 			Sum:      unscaled(n.Sum),
 			Arriving: unscaled(n.Arriving),
-			Answered: unscaled(n.Answered),
+			Placed:   unscaled(n.Placed),
 			Demand:   unscaledList(n.Demand),
 			Late:     unscaledList(n.Late),
 			Admitted: unscaledList(n.Admitted),
