--- a/internal/edge/admit/admit_test.go
+++ b/internal/edge/admit/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,14 +22,17 @@
 // compare plays a load with and without admission and returns the sums over several seeds. One seed has too few callers to see a
 // difference of 1 in 200. The attempts by round are those of the last seed.
 func compare(play func(f *fleet)) (with, without *fleet) {
-	for i := range uint64(seeds) {
-		f := newFleet(seed+i, hosts, targets, true)
-		play(f)
-		with = f.add(with)
-		f = newFleet(seed+i, hosts, targets, false)
-		play(f)
-		without = f.add(without)
+	var group sync.WaitGroup
+	sum := func(total **fleet, admission bool) {
+		for i := range uint64(seeds) {
+			f := newFleet(seed+i, hosts, targets, admission)
+			play(f)
+			*total = f.add(*total)
+		}
 	}
+	group.Go(func() { sum(&with, true) })
+	group.Go(func() { sum(&without, false) })
+	group.Wait()
 	return with, without
 }
 
@@ -295,6 +299,28 @@
 	}
 }
 
+// Guards against callers that are refused because answers are late although targets still take every request.
+func TestLatenessIsNoShortage(t *testing.T) {
+	c := admit.New(admit.Config{})
+	now := time.Unix(1000, 0)
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		assert.Assert(t, !c.Decide(now, request()).Refused)
+		outcome := admit.Outcome{
+			Kind:      admit.Placed,
+			Load:      2.4,
+			LoadKnown: true,
+			Latency:   1500 * time.Millisecond,
+			Objective: 800 * time.Millisecond,
+		}
+		c.Observe(now, "tiles", "north", outcome)
+		if outcome.Kind = admit.Answered; i%10 == 0 {
+			outcome.Kind = admit.TimedOut
+		}
+		c.Observe(now, "tiles", "north", outcome)
+	}
+}
+
 // Guards against callers that are asked to wait for longer than they do, and callers that are refused again and again although
 // they can still be answered in time.
 func TestReturns(t *testing.T) {
