Count free slots against refusals in the admission level

Cause: where targets are unevenly busy and demand is high, the placer refuses more than 37 % of the admitted requests at the full targets while others have free slots. Refusals by admission then left slots unused.

Change: a request that finds a free slot makes up for three refusals, and the tolerated fraction is 0.34. Samples in reports are 0 for a free slot, 3 for another placed request and 4 for a refusal.

--- a/admission.go
+++ b/admission.go
@@ -6,7 +6,7 @@
 	Service   string
 	Region    string
 	Samples   float64   // Recent samples of what requests found, with older ones counting less.
-	Sum       float64   // Sum of the samples: 0 for a request that was placed, 1 for one that was refused.
+	Sum       float64   // Sum of the samples: 0 for a request that found a free slot, 3 for another that was placed, 4 for one that was refused.
 	Arriving  float64   // Requests per second.
 	Placed    float64   // Requests per second for which a target was found.
 	Demand    []float64 // Requests per second that can be answered in time, by priority.
--- a/internal/edge/admit/peers.go
+++ b/internal/edge/admit/peers.go
@@ -16,8 +16,8 @@
 	// customerInterval is the minimum time between two reports with customers.
 	customerInterval = time.Second
 
-	// minReportedSum is the sum of samples below which a host without a level reports nothing. A host reports for about a second
-	// after a refusal, so that hosts with few refusals count beside those with many.
+	// minReportedSum is the sum of samples below which a host without a level reports nothing. A host reports for more than a
+	// second after a request found no free slot, so that hosts with few refusals count beside those with many.
 	minReportedSum = 0.02
 
 	// maxReportedCustomers bounds the customers in a report. Max-min fairness limits the largest customers only, so the demand
--- a/internal/edge/admit/pool.go
+++ b/internal/edge/admit/pool.go
@@ -21,6 +21,13 @@
 	// target that knows the object takes a third of the time that it takes otherwise.
 	minWorkFraction = 0.4
 
+	// freeSample, busySample and refusedSample are what requests count in the mean that were placed at a target with a free slot, at
+	// another target, and that were refused. One that found a free slot makes up for three that were refused: a refusal by
+	// admission would leave that slot unused, and would not help those whose targets are full.
+	freeSample    = 0.0
+	busySample    = 3.0
+	refusedSample = 4.0
+
 	// outcomeDecay is the time constant of the mean of what requests found. It allows for a recovery within a second.
 	outcomeDecay = 300 * time.Millisecond
 
@@ -37,7 +44,7 @@
 	// its slots are free is at fault, and refusing further requests at the host would not help it.
 	minShedLoad = 0.8
 
-	// priorWeight is the weight of placed requests that are assumed in the mean, in samples. It makes the level fall when nothing
+	// priorWeight is the weight of requests placed at targets without a free slot that are assumed in the mean, in samples. It makes the level fall when nothing
 	// is heard, and keeps a single refusal from raising it.
 	priorWeight = 3.0
 
@@ -48,10 +55,10 @@
 	// up to half a second old, and a mean of old figures alone makes the level oscillate.
 	maxPeerWeight = 3.0
 
-	// minTolerated is the fraction of the admitted requests that the placer may refuse at least before less is admitted. Arrivals at
-	// a target vary, and with fewer refusals, slots stay free in between: with 0.28, 0.6 % fewer callers are served at a demand of
-	// 1.5 times the capacity, and 1 % fewer in a burst.
-	minTolerated = 0.37
+	// minTolerated is the fraction of the admitted requests that the placer may refuse at least before less is admitted, less what
+	// free slots make up for. Arrivals at a target vary, and with fewer refusals, slots stay free in between: with 0.25 and one
+	// refusal for each free slot, 0.9 % fewer callers are served at a demand of 1.5 times the capacity.
+	minTolerated = 0.34
 
 	// toleratedGrowth is the increase of that fraction when hardly anything is admitted, most of it when fewer than one in ten is,
 	// which means that callers return at once. Without it, 3 % fewer of these callers are served, and hosts that hear no others
@@ -151,13 +158,13 @@
 	switch o.Kind {
 	case Placed:
 		p.placed.add(now, serviceDecay, 1)
-		p.own.add(now, 0)
+		p.own.add(now, placedSample(&o))
 	case NoRoom:
-		p.own.add(now, 1)
+		p.own.add(now, refusedSample)
 	case Shed:
 		p.placed.add(now, serviceDecay, -1)
 		if !o.LoadKnown || o.Load >= minShedLoad {
-			p.own.add(now, 1)
+			p.own.add(now, refusedSample)
 		}
 	case Answered:
 		p.answers.add(now, serviceDecay, 1)
@@ -168,6 +175,14 @@
 	}
 }
 
+// placedSample returns what a placed request counts.
+func placedSample(o *Outcome) float64 {
+	if o.LoadKnown && o.Load < 1 {
+		return freeSample
+	}
+	return busySample
+}
+
 // advance moves the admitted fraction towards the goal, and recomputes what follows from it.
 func (p *pool) advance(now time.Time) {
 	elapsed := now.Sub(p.advancedAt)
@@ -211,7 +226,7 @@
 }
 
 // refusedFraction returns the fraction of the admitted requests that the placer refused at this host and the others of the data
-// centre.
+// centre, less what free slots make up for.
 func (p *pool) refusedFraction(now time.Time) float64 {
 	samples, sum := p.own.values(now)
 	peerSamples, peerSum := p.peerOutcomes(now)
@@ -219,7 +234,7 @@
 		peerSum *= limit / peerSamples
 		peerSamples = limit
 	}
-	return (sum + peerSum) / (samples + peerSamples + priorWeight)
+	return math.Max(0, (sum+peerSum+busySample*priorWeight)/(samples+peerSamples+priorWeight)-busySample)
 }
 
 // divide divides the admitted requests among priorities, the most urgent first. Within a priority, requests that can still be
