--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -248,6 +248,7 @@
 	n.admission = admit.New(admit.Config{
 		Mode:       s.Features().Admission,
 		Deployment: c.Deployment,
+		CalledFor:  n.placer.ReportsWorkFactor,
 		Metrics:    c.Metrics,
 	})
 	n.follower = belief.New(belief.Config{
@@ -314,6 +315,7 @@
 		Poison:    n.poison,
 		Admission: n.admission,
 		Region:    s.Region,
+		RegionOf:  n.placer.RegionOf,
 		RetryBudget: pass.RetryBudgetConfig{
 			Ratio: s.RetryRatio,
 			Slack: s.RetrySlack,
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -267,6 +267,26 @@
 	}
 }
 
+// ReportsWorkFactor reports whether a target of a service has reported a work factor.
+func (p *Placer) ReportsWorkFactor(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[name]
+	return s != nil && s.reportsWorkFactor()
+}
+
+// RegionOf returns the region at whose targets a request is tried first, or "" if there is none.
+func (p *Placer) RegionOf(_ time.Time, request Request) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[request.Service]
+	if s == nil {
+		return ""
+	}
+	position, _ := positionAndHash(request)
+	return s.regionOf(request, position, p.config)
+}
+
 // SetDemand sets the mean fraction of all requests that comes from each region.
 func (p *Placer) SetDemand(demand map[string]float64) {
 	p.mu.Lock()
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -317,12 +317,9 @@
 func (s *service) decide(now time.Time, request Request, position float64, hash uint64, c Config) decision {
 	d := decision{
 		keyRegion: region.At(s.shares, position),
+		region:    s.regionOf(request, position, c),
 		rule:      RuleFirst,
 	}
-	d.region = d.keyRegion
-	if !request.allowsRegion(d.region) || s.capacities[d.region] == 0 {
-		d.region = s.fallbackRegion(request, c)
-	}
 	if d.region == "" {
 		d.reason = steer.ReasonNoTarget
 		return d
@@ -411,6 +408,16 @@
 // full reports whether a target has all the requests in progress, one a connection, that this host may send to it.
 func (s *service) full(t *targetState) bool { return s.maxInFlight > 0 && t.inFlight >= s.maxInFlight }
 
+// regionOf returns the region at whose targets a request is tried first: that of its key, if it may run there and there are targets.
+// It returns "" if there is none.
+func (s *service) regionOf(request Request, position float64, c Config) string {
+	keyRegion := region.At(s.shares, position)
+	if !request.allowsRegion(keyRegion) || s.capacities[keyRegion] == 0 {
+		return s.fallbackRegion(request, c)
+	}
+	return keyRegion
+}
+
 // fallbackRegion returns a region with targets in which the request may run: the own region if possible, else the one with
 // the largest capacity. It returns "" if there is none.
 func (s *service) fallbackRegion(request Request, c Config) string {
