Bound the answers that hosts hold for callers that read slowly

Cause: the memory for answers was bounded, but answers that nobody reads kept it for up to 10 s. With 100 callers that read nothing or a byte a second, each with eight requests for 1 MB sent ahead, a host with 32 MB refused 20 of 20 large requests of another caller, and small ones once large ones had used up the budget to its last bytes. One caller ran 47 of the 64 requests for 90 KB that it sent ahead, 1.4 MB of answers in the process and the rest in the kernel, where no budget counts it. A body that a target does not read was copied for the size of the head: 82 MB more for 12 bodies of 8 MB. Bounded already: the time of such a write (the request's deadline), the memory for bodies at the host (8 %), and the reading of answers at once.

Change: a package stall keeps the responses that are being written. While a request, or a longer answer, waits for memory, it closes the slowest callers, those below 16 KB/s or without a byte taken for 2 s, from a second on, until enough is freed. Large answers leave a tenth of the memory to small ones, and an answer that has arrived gives back the margin of its reservation. Requests sent ahead wait while the answers of their connection take 1/64 of the memory. The kernel holds 128 KB of unsent bytes for each caller. The buffer for a head no longer has room for a body that is written by itself.

A small host without memory for large answers still refuses them in the first second, in which no caller counts as slow.

--- a/internal/edge/back/back.go
+++ b/internal/edge/back/back.go
@@ -20,6 +20,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
+	"monsoonhub.example/steer/internal/edge/stall"
 )
 
 const (
@@ -112,6 +113,7 @@
 	Memory  int64            // Memory of the process in bytes, a fraction of which may hold answers. 0 selects 128 MB.
 	Dial    steer.Dial       // Opens connections. Nil selects a dialer for TCP.
 	Conns   *conns.Budget    // Counts the connections. Nil selects a budget of its own.
+	Slow    *stall.Book      // Responses being written to callers, the slowest of which make room. Nil selects an empty book.
 	Traffic *meter.Traffic   // Counts the bytes read and written. Optional.
 	Metrics metrics.Registry // Nil selects a private registry.
 }
@@ -154,12 +156,17 @@
 			Metrics: c.Metrics,
 		})
 	}
+	if c.Slow == nil {
+		c.Slow = stall.New(stall.Config{
+			Metrics: c.Metrics,
+		})
+	}
 	ownHeaders := []string{c.Headers.RequestID, c.Headers.Signature, c.Headers.NotRun, c.Headers.Load, c.Headers.Limit,
 		c.Headers.TargetID}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		headers:       c.Headers,
-		memoryBudget:  newMemoryBudget(c.Memory),
+		memoryBudget:  newMemoryBudget(c.Memory, c.Slow),
 		dial:          c.Dial,
 		conns:         c.Conns,
 		traffic:       c.Traffic,
@@ -246,10 +253,24 @@
 		reserved.release()
 		return result
 	}
+	reserved.shrink(cap(result.Body))
 	result.Release = reserved.release
 	return result
 }
 
+// ExpectedBytes returns the memory that an answer of a size class is expected to take, and reports whether one of the class has
+// been seen.
+func (p *Pool) ExpectedBytes(class string) (bytes int64, seen bool) {
+	b := p.memoryBudget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	length, seen := b.lengths[class]
+	if !seen {
+		return defaultReservation, false
+	}
+	return b.sizeFor(length), true
+}
+
 // send sends a call for whose answer memory is reserved.
 func (p *Pool) send(ctx context.Context, call *Call, reserved *reservation) Result {
 	c, reused, err := p.get(ctx, call)
--- a/internal/edge/back/bounds_test.go
+++ b/internal/edge/back/bounds_test.go
@@ -333,3 +333,77 @@
 		})
 	}
 }
+
+// Guards against requests for small answers that are refused because large answers wait for their callers to read them.
+func TestLargeAnswersLeaveMemoryToSmallOnes(t *testing.T) {
+	const body = 152 << 10
+	large := newScriptedTarget(t, func(int, int) string { return ok(strings.Repeat("x", body)) })
+	small := newScriptedTarget(t, func(int, int) string { return ok("small") })
+	p := back.New(back.Config{
+		Headers: names,
+		Memory:  8 << 20, // 2 MB for answers that are awaited.
+	})
+	t.Cleanup(p.Stop)
+	for id := 0; ; id++ {
+		c := newCall(large, fmt.Sprint("large-", id))
+		c.SizeClass = "large"
+		r := p.Do(context.Background(), c)
+		if errors.Is(r.Err, back.ErrNoMemory) {
+			assert.Assert(t, id >= 10, "memory holds %d answers", id)
+			break
+		}
+		assert.NilError(t, r.Err)
+	}
+	for id := range 16 { // An answer of an unknown class takes 64 KB until it is read.
+		c := newCall(small, fmt.Sprint("small-", id))
+		c.SizeClass = "small"
+		assert.NilError(t, p.Do(context.Background(), c).Err, "answer %d", id)
+	}
+}
+
+// Guards against bodies of requests that a target does not read, which hold memory and a connection beyond the deadline.
+func TestTargetThatDoesNotReadBodies(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // Connections are opened by the kernel and never read.
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	const (
+		requests = 12
+		size     = 8 << 20 // More than the kernels of both sides buffer.
+	)
+	p := newPool(t)
+	body := make([]byte, size)
+	begun := time.Now()
+	goroutines := runtime.NumGoroutine()
+	peak := peakHeap(func() {
+		var wait sync.WaitGroup
+		for id := range requests {
+			wait.Go(func() {
+				r := p.Do(context.Background(), back.Call{
+					Endpoint: &steer.Endpoint{
+						ID:      "target-1",
+						Address: netip.MustParseAddrPort(listener.Addr().String()),
+					},
+					Method:    http.MethodPost,
+					Target:    "/x",
+					Host:      "h.example",
+					Body:      body,
+					HasBody:   true,
+					RequestID: fmt.Sprint(id),
+					Deadline:  begun.Add(500 * time.Millisecond),
+				})
+				if !errors.Is(r.Err, context.DeadlineExceeded) || r.Verdict != steer.MayHaveRun {
+					t.Errorf("%v, %v", r.Verdict, r.Err)
+				}
+			})
+		}
+		wait.Wait()
+	})
+	took := time.Since(begun)
+	t.Logf("%v, %d KB", took, peak>>10)
+	assert.Assert(t, took < 1500*time.Millisecond, "took %v", took)
+	assert.Assert(t, peak < size, "a copy of each body is %d MB", requests*size>>20)
+	for runtime.NumGoroutine() > goroutines && time.Since(begun) < 5*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, runtime.NumGoroutine() <= goroutines, "writing goes on after the deadline")
+}
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -140,7 +140,11 @@
 // head returns the request line and the headers of the call.
 func (x *exchange) head() []byte {
 	call, names := x.call, x.names
-	b := make([]byte, 0, 512+len(call.Body))
+	size := 512
+	if len(call.Body) <= largeBody {
+		size += len(call.Body) // The body is appended.
+	}
+	b := make([]byte, 0, size)
 	add := func(parts ...string) {
 		for _, part := range parts {
 			b = append(b, part...)
--- a/internal/edge/back/memory.go
+++ b/internal/edge/back/memory.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"monsoonhub.example/steer/internal/edge/stall"
 )
 
 const (
@@ -20,6 +22,11 @@
 	// defaultMemory is the memory of the process in bytes if none is configured.
 	defaultMemory = 128 << 20
 
+	// largeFraction is the fraction of the memory for expected answers that answers larger than smallAnswer may take together. The
+	// rest serves the requests for small answers while large ones wait for their callers to read.
+	largeFraction = 0.9
+	smallAnswer   = defaultReservation
+
 	// minReservation is the minimum reservation for an answer, in bytes. defaultReservation applies to a class of which no
 	// answer has been seen.
 	minReservation     = 8 << 10
@@ -50,7 +57,10 @@
 // memoryBudget bounds the memory that is reserved for answers. Memory beyond the expected size of an answer is taken in one
 // step, so that answers that wait for more memory cannot deadlock.
 type memoryBudget struct {
+	slow     *stall.Book
 	upfront  *semaphore.Weighted
+	large    *semaphore.Weighted // Part of upfront that answers larger than smallAnswer may take.
+	maxLarge int64               // Size of large.
 	overflow *semaphore.Weighted
 	maxBody  int64     // Maximum body in bytes of an answer with a declared length.
 	buffers  sync.Pool // Buffers for bodies without a declared length that nobody has seen, as their reads failed.
@@ -59,13 +69,18 @@
 	lengths map[string]float64 // Length in bytes of the largest recent answer, by size class.
 }
 
-func newMemoryBudget(memory int64) *memoryBudget {
+func newMemoryBudget(memory int64, slow *stall.Book) *memoryBudget {
 	if memory <= 0 {
 		memory = defaultMemory
 	}
 	overflow := int64(overflowFraction * float64(memory))
+	upfront := int64(upfrontFraction * float64(memory))
+	maxLarge := int64(largeFraction * float64(upfront))
 	return &memoryBudget{
-		upfront:  semaphore.NewWeighted(int64(upfrontFraction * float64(memory))),
+		slow:     slow,
+		upfront:  semaphore.NewWeighted(upfront),
+		large:    semaphore.NewWeighted(maxLarge),
+		maxLarge: maxLarge,
 		overflow: semaphore.NewWeighted(overflow),
 		maxBody:  min(maxBodyWithLength, overflow),
 		lengths:  map[string]float64{},
@@ -77,6 +92,7 @@
 	memoryBudget *memoryBudget
 	class        string
 	upfront      int64
+	large        int64 // Part of upfront that is taken from the memory for large answers.
 	overflow     int64
 }
 
@@ -87,17 +103,42 @@
 		class:        class,
 		upfront:      b.expectedSize(class),
 	}
-	if b.upfront.TryAcquire(r.upfront) {
+	if r.upfront > smallAnswer {
+		r.large = min(r.upfront, b.maxLarge)
+	}
+	if r.large == 0 && b.upfront.TryAcquire(r.upfront) {
 		return r, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
 	defer cancel()
-	if err := b.upfront.Acquire(ctx, r.upfront); err != nil {
+	if r.large > 0 {
+		if err := b.slow.Acquire(ctx, b.large, r.large); err != nil {
+			return nil, ErrNoMemory
+		}
+	}
+	if err := b.slow.Acquire(ctx, b.upfront, r.upfront); err != nil {
+		b.large.Release(r.large)
 		return nil, ErrNoMemory
 	}
 	return r, nil
 }
 
+// shrink frees what the reservation holds beyond the given size of a body in bytes.
+func (r *reservation) shrink(size int) {
+	b := r.memoryBudget
+	needed := max(int64(size), minReservation)
+	b.mu.Lock()
+	excess := max(r.upfront+r.overflow-needed, 0)
+	overflow := min(r.overflow, excess)
+	upfront := excess - overflow
+	large := max(r.large-(r.upfront-upfront), 0)
+	r.upfront, r.large, r.overflow = r.upfront-upfront, r.large-large, r.overflow-overflow
+	b.mu.Unlock()
+	b.upfront.Release(upfront)
+	b.large.Release(large)
+	b.overflow.Release(overflow)
+}
+
 func (b *memoryBudget) expectedSize(class string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -105,6 +146,11 @@
 	if !ok {
 		return defaultReservation
 	}
+	return b.sizeFor(length)
+}
+
+// sizeFor returns the reservation for an answer of a class whose largest recent answer has the given length.
+func (b *memoryBudget) sizeFor(length float64) int64 {
 	return min(max(int64(reservationMargin*length), minReservation), b.maxBody)
 }
 
@@ -114,7 +160,7 @@
 	if more <= 0 {
 		return nil
 	}
-	if err := r.memoryBudget.overflow.Acquire(ctx, more); err != nil {
+	if err := r.memoryBudget.slow.Acquire(ctx, r.memoryBudget.overflow, more); err != nil {
 		return err
 	}
 	r.overflow += more
@@ -154,9 +200,10 @@
 func (r *reservation) release() {
 	b := r.memoryBudget
 	b.mu.Lock()
-	upfront, overflow := r.upfront, r.overflow
-	r.upfront, r.overflow = 0, 0
+	upfront, large, overflow := r.upfront, r.large, r.overflow
+	r.upfront, r.large, r.overflow = 0, 0, 0
 	b.mu.Unlock()
 	b.upfront.Release(upfront)
+	b.large.Release(large)
 	b.overflow.Release(overflow)
 }
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +48,7 @@
 	request    *Request
 	body       *requestBody // Of the request, until the handler has returned.
 	response   *Response    // Nil while the handler runs.
+	size       int64        // Bytes that the response takes, or is expected to take while the handler runs.
 	callerLeft bool         // The caller had closed the connection when the request was read.
 	closeAfter bool         // The connection closes after this exchange.
 }
@@ -62,7 +64,11 @@
 // than writing two.
 const maxCopiedBody = 16 << 10
 
+// writeStep is the number of bytes of a large body that are written at a time, which shows how fast the caller reads.
+const writeStep = maxUnsent
+
 func newConn(s *Server, socket net.Conn) *conn {
+	boundUnsent(socket)
 	m := meter.New(socket)
 	m.CountIn(s.config.Traffic)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -280,11 +286,19 @@
 	c.drain()
 }
 
-// enqueue starts the handler of a request, and waits first if too many are in progress. It returns false if the connection is
-// closing, in which case the request is dropped.
+// enqueue starts the handler of a request, and waits first if too many are in progress or the caller has too many responses to
+// read. It returns false if the connection is closing, in which case the request is dropped.
 func (c *conn) enqueue(e *exchange) bool {
 	c.mu.Lock()
-	for len(c.queue) >= maxPipelined && !c.closing {
+	if len(c.queue) > 0 {
+		c.mu.Unlock() // ExpectedBytes is not called with the mutex held. Only this goroutine adds to the queue.
+		e.size = c.server.config.ExpectedBytes(e.request)
+		c.mu.Lock()
+		if c.exceedsHeld(e.size) {
+			c.server.heldWaits.Inc(1)
+		}
+	}
+	for (len(c.queue) >= maxPipelined || c.exceedsHeld(e.size)) && !c.closing {
 		c.late = true
 		c.notFull.Wait()
 	}
@@ -307,7 +321,8 @@
 		e.request.Body = nil // The exchange waits in the queue until earlier responses are written.
 		e.body.release()
 		c.mu.Lock()
-		e.response = &r
+		e.response, e.size = &r, int64(len(r.Body))
+		c.notFull.Broadcast() // The response may be smaller than expected.
 		aborted := c.aborted
 		c.mu.Unlock()
 		if aborted {
@@ -319,6 +334,44 @@
 	return true
 }
 
+// held returns the bytes that the responses in the queue take or are expected to take. Its caller holds mu.
+func (c *conn) held() int64 {
+	total := int64(0)
+	for _, e := range c.queue {
+		total += e.size
+	}
+	return total
+}
+
+// exceedsHeld reports whether one more response of the given size has to wait until others are read. One is always allowed. Its
+// caller holds mu.
+func (c *conn) exceedsHeld(size int64) bool {
+	return len(c.queue) > 0 && c.held()+size > c.server.maxHeld
+}
+
+// closeSlow closes the connection of a caller that reads slowly, and returns the bytes that this frees. The kernel discards what
+// it has not sent, and the caller sees a reset, never an end that looks complete.
+func (c *conn) closeSlow() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	freed := int64(0)
+	for _, e := range c.queue {
+		if e.response != nil {
+			freed += e.size
+		}
+	}
+	c.discardUnsent()
+	c.abortLocked()
+	return freed
+}
+
+// discardUnsent makes closing the connection discard the bytes that the kernel has not sent.
+func (c *conn) discardUnsent() {
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // An error means that the connection is already closed.
+	}
+}
+
 // flush writes the completed responses that are next in order.
 func (c *conn) flush() {
 	c.mu.Lock()
@@ -343,6 +396,10 @@
 		c.mu.Lock()
 		e.response.release()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.server.unread.Inc(1)
+				c.discardUnsent()
+			}
 			c.abortLocked()
 			return
 		}
@@ -467,7 +524,26 @@
 		c.server.config.Traffic.AddSent(int64(n))
 		return err
 	}
-	n, err := (&net.Buffers{buffer, body}).WriteTo(c.socket)
-	c.server.config.Traffic.AddSent(n)
-	return err
+	return c.writeLarge(buffer, body)
+}
+
+// writeLarge writes a head and a large body in steps, and records how fast the caller reads.
+func (c *conn) writeLarge(head, body []byte) error {
+	w := c.server.config.Slow.Begin(time.Now(), c.closeSlow)
+	defer w.End()
+	for first := true; first || len(body) > 0; first = false {
+		step := body[:min(len(body), writeStep)]
+		body = body[len(step):]
+		buffers := net.Buffers{step}
+		if first {
+			buffers = net.Buffers{head, step}
+		}
+		n, err := buffers.WriteTo(c.socket)
+		c.server.config.Traffic.AddSent(n)
+		if err != nil {
+			return err
+		}
+		w.Advance(time.Now(), n)
+	}
+	return nil
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -16,6 +16,7 @@
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
+	"monsoonhub.example/steer/internal/edge/stall"
 	"monsoonhub.example/steer/internal/ops/guard"
 )
 
@@ -23,6 +24,16 @@
 	// maxPipelined bounds the requests of one connection that are in progress at once. Callers pipeline a few.
 	maxPipelined = 16
 
+	// heldFraction is the fraction of the process's memory that the responses for one connection may take: 2.9 of 184 MB, which is
+	// more than maxPipelined responses of 90 KB with the margin of their reservations.
+	heldFraction = 1.0 / 64
+
+	// defaultResponseBytes is the expected size of a response if nothing else is configured.
+	defaultResponseBytes = 64 << 10
+
+	// maxUnsent bounds the bytes of responses to one caller that the kernel holds and has not sent, where they are in no budget.
+	maxUnsent = 128 << 10
+
 	// lingerTimeout is the time for which a half-closed connection is still read, so that the caller gets the last response:
 	// a connection that is closed with unread bytes is reset.
 	lingerTimeout = time.Second
@@ -103,10 +114,16 @@
 	Handler  Handler
 	Limits   func() steer.RequestLimits // Zero fields select defaults.
 	Memory   int64                      // Memory of the process in bytes, a fraction of which may hold bodies. 0 selects 128 MB.
-	Conns    *conns.Budget              // Counts the connections. Nil selects a budget of its own.
-	Traffic  *meter.Traffic             // Counts the bytes read and written. Optional.
-	Logger   log.Logger                 // Nil means no logging.
-	Metrics  metrics.Registry           // Nil means a private registry.
+
+	// ExpectedBytes returns the memory that the response to a request is expected to take. It is called for requests that were sent
+	// ahead, before their handlers. Nil expects defaultResponseBytes.
+	ExpectedBytes func(r *Request) int64
+
+	Slow    *stall.Book      // Holds the responses that are being written. Nil selects a book of its own.
+	Conns   *conns.Budget    // Counts the connections. Nil selects a budget of its own.
+	Traffic *meter.Traffic   // Counts the bytes read and written. Optional.
+	Logger  log.Logger       // Nil means no logging.
+	Metrics metrics.Registry // Nil means a private registry.
 }
 
 // Server accepts connections of callers and serves their requests.
@@ -118,6 +135,9 @@
 	openConns          metrics.Gauge
 	accepted           metrics.Counter
 	noMemory           metrics.Counter
+	heldWaits          metrics.Counter // Requests that waited because their connection had enough responses to read.
+	unread             metrics.Counter // Responses that were not read within writeTimeout.
+	maxHeld            int64           // Bound in bytes on the responses for one connection.
 	bodyMemory         *semaphore.Weighted
 	maxBodyBytes       int64                     // Largest body whose buffer can be moved to a larger one.
 	keepAlivesDisabled atomic.Bool               // Responses close their connections.
@@ -146,6 +166,15 @@
 			Metrics: c.Metrics,
 		})
 	}
+	if c.Slow == nil {
+		c.Slow = stall.New(stall.Config{
+			Logger:  c.Logger,
+			Metrics: c.Metrics,
+		})
+	}
+	if c.ExpectedBytes == nil {
+		c.ExpectedBytes = func(*Request) int64 { return defaultResponseBytes }
+	}
 	bodyMemory := int64(bodyFraction * float64(c.Memory))
 	s := &Server{
 		config:   c,
@@ -158,6 +187,9 @@
 		openConns:    metrics.GetOrRegisterGauge("front-connections", c.Metrics),
 		accepted:     metrics.GetOrRegisterCounter("front-accepted", c.Metrics),
 		noMemory:     metrics.GetOrRegisterCounter("front-no-memory", c.Metrics),
+		heldWaits:    metrics.GetOrRegisterCounter("front-held-waits", c.Metrics),
+		unread:       metrics.GetOrRegisterCounter("front-unread", c.Metrics),
+		maxHeld:      int64(heldFraction * float64(c.Memory)),
 		bodyMemory:   semaphore.NewWeighted(bodyMemory),
 		maxBodyBytes: bodyMemory/2 - 1,
 		conns:        map[*conn]struct{}{},
--- a/internal/edge/front/tcp.go
+++ b/internal/edge/front/tcp.go
@@ -26,6 +26,14 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, info.State != tcpEstablished
 }
 
+// boundUnsent bounds the bytes that the kernel holds for a caller and has not sent. The bytes in flight are not bounded, so a
+// caller that reads is served as fast as without the bound.
+func boundUnsent(socket net.Conn) {
+	_ = control(socket, func(descriptor int) error { // Without the bound the connection works as well.
+		return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+	})
+}
+
 // hasPendingConns reports whether connections wait to be accepted.
 func hasPendingConns(listener net.Listener) bool {
 	hasPending := false
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -32,6 +32,7 @@
 	"monsoonhub.example/steer/internal/edge/poison"
 	"monsoonhub.example/steer/internal/edge/region"
 	"monsoonhub.example/steer/internal/edge/setup"
+	"monsoonhub.example/steer/internal/edge/stall"
 	"monsoonhub.example/steer/internal/ops/guard"
 	"monsoonhub.example/steer/internal/ops/telem"
 	"monsoonhub.example/steer/internal/peer/gossip"
@@ -234,7 +235,12 @@
 		Logger:          c.Logger,
 		Metrics:         c.Metrics,
 	})
+	slow := stall.New(stall.Config{
+		Logger:  c.Logger,
+		Metrics: c.Metrics,
+	})
 	n.targets = back.New(back.Config{
+		Slow:    slow,
 		Headers: c.Headers,
 		Memory:  int64(s.MemoryMB) << 20,
 		Conns:   n.conns,
@@ -331,14 +337,16 @@
 		Metrics:  c.Metrics,
 	})
 	n.server = front.New(front.Config{
-		Listener: p.callers,
-		Handler:  handler.Serve,
-		Limits:   n.requestLimits,
-		Memory:   int64(s.MemoryMB) << 20,
-		Conns:    n.conns,
-		Traffic:  &n.traffic,
-		Logger:   c.Logger,
-		Metrics:  c.Metrics,
+		Slow:          slow,
+		Listener:      p.callers,
+		Handler:       handler.Serve,
+		Limits:        n.requestLimits,
+		ExpectedBytes: handler.ExpectedBytes,
+		Memory:        int64(s.MemoryMB) << 20,
+		Conns:         n.conns,
+		Traffic:       &n.traffic,
+		Logger:        c.Logger,
+		Metrics:       c.Metrics,
 	})
 	peers := http.NewServeMux()
 	peers.Handle(gossip.Path, n.gossiper.Load().Handler())
--- a/internal/edge/pass/pass.go
+++ b/internal/edge/pass/pass.go
@@ -160,6 +160,26 @@
 	err           error
 }
 
+// largeBytes is the memory that is expected for a large response of a route whose responses are not known yet.
+const largeBytes = 1 << 20
+
+// ExpectedBytes returns the memory that the response to a request is expected to take.
+func (h *Handler) ExpectedBytes(r *front.Request) int64 {
+	view := h.config.View()
+	if view.Index == nil {
+		return 0
+	}
+	route := view.Index.Route(r.Host, r.Path)
+	if route == nil {
+		return 0
+	}
+	bytes, seen := h.config.Targets.ExpectedBytes(route.Name)
+	if !seen && route.Kind == steer.KindLarge {
+		return largeBytes
+	}
+	return bytes
+}
+
 // Serve handles one request. If the handling panics, the response says that the request may have run.
 func (h *Handler) Serve(ctx context.Context, r *front.Request) front.Response {
 	var response front.Response
