Bound the bodies in progress at one target where capacity is contested

Cause: nothing bounded the bodies that all hosts together have in progress at one target, whose memory they use. In the test, 83 hosts with eight requests of 1 MB each for one object send 664 MB to its target at once.

Change: where the deployment announces contested capacity, each host has a share of the plan's largest body at each target, divided equally among the hosts, at least 64 KB, and one body of any size. A request above it goes where one goes whose target is full, or is refused with "not run" and the new reason target-memory, before it is sent. There are no messages. Metric pass-target-memory.

--- a/internal/edge/pass/accesslog.go
+++ b/internal/edge/pass/accesslog.go
@@ -68,6 +68,9 @@
 			metrics.GetOrRegisterCounter("pass-limited", l.metrics).Inc(1)
 		}
 	}
+	if refusal != nil && refusal.Reason == steer.ReasonTargetMemory {
+		metrics.GetOrRegisterCounter("pass-target-memory", l.metrics).Inc(1)
+	}
 	missedObjective := j.route != nil && j.route.Objective > 0 && elapsed > j.route.Objective
 	sampled := outcome == "answered" && len(j.attempts) == 1 && !missedObjective && response.Status < 500
 	omitted, ok := l.allow(now, sampled)
--- a/internal/edge/pass/run.go
+++ b/internal/edge/pass/run.go
@@ -98,6 +98,7 @@
 		Tried:        j.triedTargets,
 		TimeLeft:     j.deadline.Sub(now),
 		LargeAnswer:  j.route.Kind == steer.KindLarge,
+		BodyBytes:    int64(len(j.request.Body)),
 	}
 	if j.customer != nil {
 		criteria.AlsoRegions = j.customer.Regions
--- a/internal/edge/place/place.go
+++ b/internal/edge/place/place.go
@@ -50,6 +50,8 @@
 	TimeLeft     time.Duration // Time until the deadline of the request.
 	LargeAnswer  bool          // The answer is large, so it should not cross data centres.
 
+	BodyBytes int64 // Size of the request's body.
+
 	avoidsLimits bool // The request leaves targets with limits to more urgent ones.
 }
 
@@ -63,6 +65,7 @@
 	class         string
 	loadPerSlot   float64
 	object        uint64 // Hash of the object; 0 if the request concerns none.
+	bodyBytes     int64
 	targetState   *targetState
 	started       time.Time
 }
@@ -174,6 +177,7 @@
 		Limit:         best.namedLimit(),
 		class:         request.Class,
 		loadPerSlot:   best.loadPerSlot(now),
+		bodyBytes:     request.BodyBytes,
 		targetState:   best,
 		started:       now,
 	}
@@ -181,6 +185,7 @@
 		choice.object = hash
 	}
 	best.inFlight++
+	best.bodyBytes += request.BodyBytes
 	s.recordSent(&choice)
 	return choice, nil
 }
@@ -190,6 +195,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[c.Target.Service] // Services are never dropped.
+	c.targetState.bodyBytes -= c.bodyBytes
 	c.targetState.finish(now, c.started, o)
 	s.observeSpeed(now, &c, &o)
 	if o.Inconclusive {
--- a/internal/edge/place/service.go
+++ b/internal/edge/place/service.go
@@ -127,6 +127,8 @@
 
 	maxInFlight int // Limit on this host's requests in progress at a target, each of which takes a connection; 0 for none.
 
+	maxBodies int64 // Limit in bytes on the bodies of this host's requests in progress at a target; 0 for none.
+
 	spillFraction float64 // Fraction of the requests that may leave their region because it is full.
 	requests      int     // Requests since spillFraction was last updated.
 	foundFull     int     // Those of requests that found their region full.
@@ -182,6 +184,9 @@
 	s.targets = targets
 	s.fleetSize = fleet.Hosts
 	s.coldRate = 0
+	if view.Index != nil {
+		s.updateMaxBodies(view.Index.Plan.Limits.BodyBytes, fleet.Hosts)
+	}
 	if len(list) > 0 && view.Index != nil {
 		plan := view.Index.Plan.Services[list[0].Service]
 		s.coldRate = coldRateFraction * plan.WarmupRate / float64(fleet.MaxHosts)
@@ -307,10 +312,14 @@
 	if s.usesCopies() {
 		home, t = s.chooseCopy(now, &request, hash, home.target.HomeRegion)
 	}
-	if t.loadPerSlot(now) >= s.loadLimit(now, &request, t) || s.full(t) {
+	bodiesFull := s.bodiesFull(t, &request)
+	if t.loadPerSlot(now) >= s.loadLimit(now, &request, t) || s.full(t) || bodiesFull {
 		if t = s.spareLimited(now, request, hash, keyRegion); t == nil {
 			t = s.overflow(now, request, hash, keyRegion)
 		}
+		if t == nil && bodiesFull {
+			return nil, false, steer.ReasonTargetMemory
+		}
 		if t == nil {
 			return nil, false, steer.ReasonCapacity
 		}
@@ -331,7 +340,7 @@
 		return nil
 	}
 	t := s.home(now, request, hash, func(other string) bool { return other != region && request.allowsRegion(other) })
-	if t == nil || t.loadPerSlot(now) >= maxOverflowLoad || s.full(t) {
+	if t == nil || t.loadPerSlot(now) >= maxOverflowLoad || s.full(t) || s.bodiesFull(t, &request) {
 		return nil
 	}
 	s.spilled++
@@ -345,7 +354,7 @@
 	inRegion := s.usable(now, request, func(other string) bool { return other == region })
 	return preferred(hash, func(yield func(*targetState) bool) {
 		for t := range inRegion {
-			if t.limit != nil && t.loadPerSlot(now) < maxOverflowLoad && !s.full(t) && !yield(t) {
+			if t.limit != nil && t.loadPerSlot(now) < maxOverflowLoad && !s.full(t) && !s.bodiesFull(t, &request) && !yield(t) {
 				return
 			}
 		}
--- a/internal/edge/place/target.go
+++ b/internal/edge/place/target.go
@@ -44,6 +44,7 @@
 	target              *belief.RegisteredTarget
 	service             *service
 	inFlight            int           // Requests of this host in progress.
+	bodyBytes           int64         // Bytes of the bodies of these requests.
 	otherRequests       float64       // Requests of other hosts in progress, according to the last report.
 	reportedAt          time.Time     // Time of the last report; zero if there was none.
 	consecutiveFailures int           // Failures since the last success; after an ejection, one below the limit.
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,7 @@
 	ReasonMemory        Reason = "no-memory"      // The memory for bodies of requests or answers is exhausted.
 	ReasonNoTarget      Reason = "no-target"      // No target can take the request.
 	ReasonTargetLimit   Reason = "target-limit"   // The targets that could take the request have named limits that are used up.
+	ReasonTargetMemory  Reason = "target-memory"  // The targets that could take the request have enough bodies of requests in progress.
 	ReasonDeadly        Reason = "deadly-request" // Equal requests have crashed several targets.
 	ReasonTicket        Reason = "bad-ticket"     // The ticket is malformed, forged or expired.
 	ReasonTicketGone    Reason = "ticket-gone"    // The process that owns the ticket does not answer.
