Answer a request that waits for its caller to read when the host stops

Cause: while a host stops, the response to the last request in the queue closes the connection. A request that had been read and waited, because the answers before it take the share of its connection, was dropped. The first of several requests that arrive together was also counted without the size that its answer is expected to have.

Change: such a response leaves the connection open while a request waits. The first request is counted if others are buffered behind it.

--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -40,6 +40,7 @@
 	writing bool        // A goroutine is writing responses.
 	closing bool        // The connection closes after the responses in the queue, or is closed.
 	idle    bool        // The reader waits for the first byte of a request.
+	waiting bool        // The reader has a request that waits for room in the queue.
 	aborted bool        // No further responses are written.
 }
 
@@ -290,7 +291,7 @@
 // read. It returns false if the connection is closing, in which case the request is dropped.
 func (c *conn) enqueue(e *exchange) bool {
 	c.mu.Lock()
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 || c.reader.Buffered() > 0 {
 		c.mu.Unlock() // ExpectedBytes is not called with the mutex held. Only this goroutine adds to the queue.
 		e.size = c.server.config.ExpectedBytes(e.request)
 		c.mu.Lock()
@@ -299,9 +300,10 @@
 		}
 	}
 	for (len(c.queue) >= maxPipelined || c.exceedsHeld(e.size)) && !c.closing {
-		c.late = true
+		c.late, c.waiting = true, true
 		c.notFull.Wait()
 	}
+	c.waiting = false
 	if c.closing {
 		c.mu.Unlock()
 		e.body.release()
@@ -387,7 +389,7 @@
 			c.abortLocked()
 			return
 		}
-		sendClose := e.closeAfter || len(c.queue) == 1 && c.server.keepAlivesDisabled.Load()
+		sendClose := e.closeAfter || len(c.queue) == 1 && !c.waiting && c.server.keepAlivesDisabled.Load()
 		if sendClose {
 			c.closing = true
 		}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -115,8 +115,8 @@
 	Limits   func() steer.RequestLimits // Zero fields select defaults.
 	Memory   int64                      // Memory of the process in bytes, a fraction of which may hold bodies. 0 selects 128 MB.
 
-	// ExpectedBytes returns the memory that the response to a request is expected to take. It is called for requests that were sent
-	// ahead, before their handlers. Nil expects defaultResponseBytes.
+	// ExpectedBytes returns the memory that the response to a request is expected to take. It is called before the
+	// handlers of requests that are sent ahead, or that others follow. Nil expects defaultResponseBytes.
 	ExpectedBytes func(r *Request) int64
 
 	Slow    *stall.Book      // Holds the responses that are being written. Nil selects a book of its own.
