--- a/internal/edge/pass/explain.go
+++ b/internal/edge/pass/explain.go
@@ -10,6 +10,7 @@
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/belief"
+	"monsoonhub.example/steer/internal/edge/front"
 	"monsoonhub.example/steer/internal/edge/index"
 	"monsoonhub.example/steer/internal/edge/place"
 )
@@ -191,6 +192,7 @@
 		return Explanation{}, newExplainError(http.StatusNotFound, steer.ReasonNoRoute, "the plan in force has no such route")
 	}
 	j := &job{
+		request:  &front.Request{}, // The body of a request counts at its target; an explained one has none.
 		route:    route,
 		priority: route.Priority,
 		service:  explainedService(route, q.Service),
