--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -27,8 +27,8 @@
 	// maxStrayAnswers bounds the answers to other requests that are skipped before the own answer.
 	maxStrayAnswers = 3
 
-	// maxInformationalAnswers bounds the informational answers to one request. At 10 a second, the longest timeout of a route
-	// (4 s) has 40. Answers with heads of more than 1 KB reach maxHeadBytes first.
+	// maxInformationalAnswers bounds the informational answers to one request, so that many short ones do not hold it up. Answers
+	// with heads of more than 1 KB reach maxHeadBytes first.
 	maxInformationalAnswers = 64
 
 	// largeBody is the size in bytes above which a request body is written concurrently with reading the answer, since a
