Read the bytes taken of a closed write under the lock

Cause: the log line of a closed connection read Write.taken without the lock while the writer may still count bytes, a data race. Change: takeSlowest returns the bytes with the write. The new test reports the race before the change.

--- a/internal/edge/stall/stall.go
+++ b/internal/edge/stall/stall.go
@@ -113,7 +113,7 @@
 // CloseSlowest closes the connection of the slow caller that has taken nothing for longest. It returns the bytes freed, and false
 // if no caller is slow.
 func (b *Book) CloseSlowest(now time.Time) (freed int64, ok bool) {
-	w := b.takeSlowest(now)
+	w, taken := b.takeSlowest(now)
 	if w == nil {
 		return 0, false
 	}
@@ -124,13 +124,14 @@
 		b.suppressed.Add(1)
 		return freed, true
 	}
-	_ = b.logger.Log("msg", "Connection of a slow caller is closed.", "reason", "no-memory", "freed", freed, "taken", w.taken,
+	_ = b.logger.Log("msg", "Connection of a slow caller is closed.", "reason", "no-memory", "freed", freed, "taken", taken,
 		"writing-for", now.Sub(w.started), "suppressed", b.suppressed.Swap(0))
 	return freed, true
 }
 
-// takeSlowest removes the write of the slow caller that has taken nothing for longest, or returns nil.
-func (b *Book) takeSlowest(now time.Time) *Write {
+// takeSlowest removes the write of the slow caller that has taken nothing for longest, and returns it with the bytes taken so far,
+// which the writer may still change. It returns nil if no caller is slow.
+func (b *Book) takeSlowest(now time.Time) (*Write, int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var slowest *Write
@@ -139,8 +140,11 @@
 			slowest = w
 		}
 	}
+	if slowest == nil {
+		return nil, 0
+	}
 	delete(b.writes, slowest)
-	return slowest
+	return slowest, slowest.taken
 }
 
 // Acquire acquires n bytes of a memory budget. While it waits, it closes connections of slow callers until they have freed as much.
--- a/internal/edge/stall/stall_test.go
+++ b/internal/edge/stall/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +74,19 @@
 		assert.Assert(t, time.Since(begun) < time.Second, "took %v", time.Since(begun))
 	})
 }
+
+// Guards against a data race between the log line of a closed connection and the writer, which may still count bytes.
+func TestClosesWhileBytesAreTaken(t *testing.T) {
+	b := stall.New(stall.Config{})
+	start := time.Unix(1000, 0)
+	var writer sync.WaitGroup
+	var w *stall.Write
+	w = b.Begin(start, func() int64 {
+		writer.Go(func() { w.Advance(start.Add(time.Second), 1) })
+		return 7
+	})
+	freed, ok := b.CloseSlowest(start.Add(time.Second))
+	writer.Wait()
+	assert.Assert(t, ok)
+	assert.Equal(t, freed, int64(7))
+}
