Do not read a reset during an upload as the end of an answer

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the kernel reports a reset to one call of the socket. Package back writes bodies of more than 16 KB while it reads the answer. If the write got the reset, the next read returned io.EOF, which ends an answer without a length properly. net/http writes and reads at the same time too, so a write to the platform's store passed for done when the store answered 200 and reset the connection.

Change: answer.Conn remembers the error of a write, and a read that meets the end of the stream returns that error instead. A write in progress is ended first, so that the result does not depend on which goroutine runs first. An early answer that the target ends properly is delivered as before.

The client of kvhttp reads in the same way, and a revision that is cut off is a number too.

Already handled, the tests stay: answers with a length or in chunks, and the relay of host, which rejects answers without a length (relay.TestAnswerResetDuringUploadIsNotDelivered).

--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
@@ -19,7 +20,7 @@
 type conn struct {
 	targetID  string
 	counted   *conns.Conn // In the budget of the host.
-	socket    net.Conn
+	socket    *answer.Conn
 	meter     *meter.Reader
 	traffic   *meter.Traffic
 	reader    *bufio.Reader
@@ -50,8 +51,8 @@
 
 // start initialises the connection when its socket is open.
 func (c *conn) start(socket net.Conn, address netip.AddrPort) {
-	c.socket, c.address = socket, address
-	c.meter = meter.New(socket)
+	c.socket, c.address = answer.NewConn(socket), address
+	c.meter = meter.New(c.socket)
 	c.meter.CountIn(c.traffic)
 	c.reader = bufio.NewReaderSize(c.meter, 4<<10)
 	c.idleSince = time.Now()
@@ -88,7 +89,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.socket.(syscall.Conn)
+	raw, ok := c.socket.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/plat/kvhttp/client.go
+++ b/internal/plat/kvhttp/client.go
@@ -64,9 +64,9 @@
 		c.Timeout = defaultTimeout
 	}
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{
+		DialContext: answer.Dial((&net.Dialer{
 			Timeout: c.Timeout,
-		}).DialContext,
+		}).DialContext),
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 
