Reject answers with invalid field names

Callers saw: a target sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on, or with a body that was not the target's.

Cause: net/http accepts a space in the name of a field, and ignores the framing of "Content-Length : 2". It joins a line that begins with a blank with the line before it, which hides " Content-Length: 2" in another value. Nothing checked the names afterwards. Names with a control byte were rejected by net/http already, unless the byte is a tab at the beginning of the line.

Change: answer.CheckHead, for back and relay, and answer.Transport, for the clients of the stores, health checks and gossip, reject names that are no tokens. Folded lines are not visible in the parsed head, so answer.Conn looks for them in the bytes of each head. A gateway may reject them (RFC 9112, section 5.2). Such an answer may have run, nothing in it counts, and its connection is closed. Read errors of Conn are repeated, since textproto drops the first one; without that, relay waited for the rest of the head until the deadline.

The checks of TestInvalidStatusMayHaveRun, TestInvalidStatusIsNoReport and TestClientsRejectInvalidStatuses moved into functions that the new tests share. They check what they checked before.

Links of package links read only the status and the key of the handshake from the answer; nothing changed there.

--- a/internal/edge/answer/answer.go
+++ b/internal/edge/answer/answer.go
@@ -1,7 +1,7 @@
 // Package answer recognises bytes that a client reads as one HTTP answer although they are not: a target may break off an answer
-// anywhere and go on with another one on the same connection, such as a late copy of the answer before it, or answer with a status
-// that HTTP does not have. Nothing may be concluded from such bytes, not even that a request has not run. A Transport rejects such
-// statuses for clients of net/http.
+// anywhere and go on with another one on the same connection, such as a late copy of the answer before it, or answer with a status or
+// a header name that HTTP does not have. Nothing may be concluded from such bytes, not even that a request has not run. A Transport
+// rejects such statuses and names for clients of net/http. A Conn keeps a part of an answer from looking complete.
 package answer
 
 import (
@@ -40,12 +40,26 @@
 	return nil
 }
 
+// checkNames returns ErrNotOne if the name of a header is not a token. net/http accepts names that contain a space, and then ignores
+// the framing of "Content-Length : 2".
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: invalid header name %q", ErrNotOne, name)
+		}
+	}
+	return nil
+}
+
 // CheckHead returns ErrNotOne if the head of an answer cannot be one head as its sender wrote it: it has no valid status, contains
 // another status line or bytes that no head may contain, or has one of the given headers more than once.
 func CheckHead(response *http.Response, single ...string) error {
 	if err := CheckStatus(response.StatusCode); err != nil {
 		return err
 	}
+	if err := checkNames(response.Header); err != nil {
+		return err
+	}
 	if err := checkText(response.Status); err != nil {
 		return err
 	}
--- a/internal/edge/answer/conn.go
+++ b/internal/edge/answer/conn.go
@@ -15,10 +15,14 @@
 
 // Conn is the connection of a client to a server. Its reads never report a failure of the connection as io.EOF, which is the end of
 // an answer without a length: the kernel reports a failure once, and if a concurrent write gets it, the next read returns io.EOF.
+// They fail with ErrNotOne at a folded line in the head of an answer.
 type Conn struct {
 	net.Conn
 	writing    sync.Mutex // Held during a write.
 	writeError error      // The first error of a write.
+	mu         sync.Mutex
+	lines      headLines // Guarded by mu.
+	folded     bool      // A folded line was found; guarded by mu.
 }
 
 // NewConn returns a Conn over an open connection.
@@ -39,6 +43,33 @@
 	}
 }
 
+// ExpectHead begins the head of an answer, of which some bytes may have been read already. Without it, no head is expected. It returns
+// ErrNotOne if these bytes contain a folded line.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mu.Lock()
+	c.lines = headLines{
+		expected: true,
+	}
+	c.mu.Unlock()
+	_, err := c.checkLines(buffered)
+	return err
+}
+
+// checkLines returns the number of the given bytes that come before a folded line. All further reads fail, since a buffered reader
+// may drop an error that comes with some bytes.
+func (c *Conn) checkLines(data []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.folded {
+		return 0, errFoldedLine
+	}
+	if i := c.lines.firstFolded(data); i >= 0 {
+		c.folded = true
+		return i, errFoldedLine
+	}
+	return len(data), nil
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
@@ -53,7 +84,13 @@
 // Read implements net.Conn. When the server has closed the connection, it ends a write in progress, whose answer cannot come any
 // more.
 func (c *Conn) Read(b []byte) (int, error) {
+	if _, err := c.checkLines(nil); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
+	if before, err := c.checkLines(b[:n]); err != nil {
+		return before, err
+	}
 	if err != io.EOF {
 		return n, err
 	}
--- a/internal/edge/answer/transport.go
+++ b/internal/edge/answer/transport.go
@@ -7,8 +7,9 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper that fails with ErrNotOne if the status of an answer is invalid, or switches to a protocol that
-// the request did not ask for. It closes the connection of such an answer, which net/http would use again.
+// Transport is an http.RoundTripper that fails with ErrNotOne if an answer has an invalid status or header name, or switches to a
+// protocol that the request did not ask for. It closes the connection of such an answer, which net/http would use again. Folded lines
+// are found on connections of type *Conn.
 type Transport struct {
 	Base http.RoundTripper
 }
@@ -17,13 +18,21 @@
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			if own, ok := conn.(*Conn); ok {
+				_ = own.ExpectHead(nil) // Fails for buffered bytes only.
+			}
+		},
 	})
 	response, err := t.Base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	err = CheckStatus(response.StatusCode)
+	if err == nil {
+		err = checkNames(response.Header)
+	}
 	if err == nil && response.StatusCode == http.StatusSwitchingProtocols && r.Header.Get("Upgrade") == "" {
 		err = fmt.Errorf("%w: it switches protocols", ErrNotOne)
 	}
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -255,6 +255,10 @@
 // readHead reads a head, within the limit for all heads. Bytes of the body that are buffered along with it count too.
 func (x *exchange) readHead(request *http.Request) (*http.Response, error) {
 	c := x.conn
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
+	if err := c.socket.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
 	c.meter.SetLimit(x.headBytesLeft)
 	before := c.meter.BytesRead()
 	response, err := http.ReadResponse(c.reader, request)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -203,6 +204,7 @@
 		client: &http.Client{
 			Transport: answer.Transport{
 				Base: &http.Transport{
+					DialContext:            answer.Dial((&net.Dialer{}).DialContext),
 					MaxResponseHeaderBytes: maxHeadBytes,
 				},
 			},
--- a/internal/route/probe/probe.go
+++ b/internal/route/probe/probe.go
@@ -97,7 +97,7 @@
 	closeIdle := func() {}
 	if c.Transport == nil {
 		own := &http.Transport{
-			DialContext:         (&net.Dialer{}).DialContext,
+			DialContext:         answer.Dial((&net.Dialer{}).DialContext),
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     10 * c.Interval,
 
--- a/internal/route/probe/probe_test.go
+++ b/internal/route/probe/probe_test.go
@@ -282,61 +282,72 @@
 	}
 }
 
-// Guards against a health check whose answer has a status that HTTP does not have: it is neither a report of a healthy target nor
-// of a failing one, and its connection must not be used again.
+// Guards against a health check whose answer has a status that HTTP does not have.
 func TestInvalidStatusIsNoReport(t *testing.T) {
 	for _, status := range []string{"000", "099", "600", "777", "999"} {
-		t.Run(status, func(t *testing.T) {
-			var mu sync.Mutex
-			invalid := false
-			polls := map[string]int{} // Requests of each connection that were answered with the status.
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				body := map[string]string{"/target/health": `{"state":"ready"}`, "/target/load": busy}[r.URL.Path]
+		t.Run(status, func(t *testing.T) { checkNoReport(t, status+" X") })
+	}
+}
+
+// Guards against a health check in whose answer the name of a field holds a blank or a control byte.
+func TestInvalidFieldNameIsNoReport(t *testing.T) {
+	for _, field := range []string{"X Y: 1", "X : 1", " X: 1", "\tX: 1", "X\x01Y: 1", "X\x00: 1", "X\t: 1", "Content-Length : 9", " Content-Length: 9"} {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) { checkNoReport(t, "200 OK\r\nDate: now\r\n"+field) })
+	}
+}
+
+// checkNoReport lets a target answer health checks with a head that begins with the given lines: the answer is neither a report of a
+// healthy target nor of a failing one, and its connection must not be used again.
+func checkNoReport(t *testing.T, begin string) {
+	t.Helper()
+	var mu sync.Mutex
+	invalid := false
+	polls := map[string]int{} // Requests of each connection that were answered with the status.
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := map[string]string{"/target/health": `{"state":"ready"}`, "/target/load": busy}[r.URL.Path]
+		mu.Lock()
+		defer mu.Unlock()
+		if !invalid {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, body)
+			return
+		}
+		socket, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		polls[socket.RemoteAddr().String()]++
+		_, _ = fmt.Fprintf(socket, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n", begin)
+		go func() {
+			defer socket.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
 				mu.Lock()
 				defer mu.Unlock()
-				if !invalid {
-					w.Header().Set("Content-Type", "application/json")
-					_, _ = io.WriteString(w, body)
-					return
-				}
-				socket, _, err := http.NewResponseController(w).Hijack()
-				assert.Check(t, err)
 				polls[socket.RemoteAddr().String()]++
-				_, _ = fmt.Fprintf(socket, "HTTP/1.1 %s X\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n", status)
-				go func() {
-					defer socket.Close()
-					if _, err := http.ReadRequest(bufio.NewReader(socket)); err == nil {
-						mu.Lock()
-						defer mu.Unlock()
-						polls[socket.RemoteAddr().String()]++
-					}
-				}()
-			}))
-			defer server.Close()
-			p := probe.New(probe.Config{
-				DataCentre: "golfo-1",
-				Source:     newSource(server.Listener.Addr().String()),
-				Interval:   20 * time.Millisecond,
-			})
-			defer func() { assert.NilError(t, p.Close(context.Background())) }()
-			poll.WaitOn(t, condition(func() bool { return p.Report("t0").Healthy }))
-			mu.Lock()
-			invalid = true
-			mu.Unlock()
-			poll.WaitOn(t, condition(func() bool {
-				mu.Lock()
-				defer mu.Unlock()
-				return len(polls) >= 3
-			}))
-			last := p.Report("t0")
-			time.Sleep(100 * time.Millisecond)
-			r := p.Report("t0")
-			assert.Assert(t, r == last && r.Healthy && r.Slots == 9, "%+v, want %+v", r, last)
-			mu.Lock()
-			defer mu.Unlock()
-			for connection, n := range polls {
-				assert.Check(t, n == 1, "%d requests over %s", n, connection)
 			}
-		})
+		}()
+	}))
+	defer server.Close()
+	p := probe.New(probe.Config{
+		DataCentre: "golfo-1",
+		Source:     newSource(server.Listener.Addr().String()),
+		Interval:   20 * time.Millisecond,
+	})
+	defer func() { assert.NilError(t, p.Close(context.Background())) }()
+	poll.WaitOn(t, condition(func() bool { return p.Report("t0").Healthy }))
+	mu.Lock()
+	invalid = true
+	mu.Unlock()
+	poll.WaitOn(t, condition(func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(polls) >= 3
+	}))
+	last := p.Report("t0")
+	time.Sleep(100 * time.Millisecond)
+	r := p.Report("t0")
+	assert.Assert(t, r == last && r.Healthy && r.Slots == 9, "%+v, want %+v", r, last)
+	mu.Lock()
+	defer mu.Unlock()
+	for connection, n := range polls {
+		assert.Check(t, n == 1, "%d requests over %s", n, connection)
 	}
 }
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"monsoonhub.example/steer/internal/edge/answer"
 )
 
 // Errors of guardedConn.Write.
@@ -47,6 +48,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.reused.Store(info.Reused)
 			if c, ok := info.Conn.(*guardedConn); ok {
+				_ = c.ExpectHead(nil) // Fails for buffered bytes only.
 				c.current.Store(a)
 				a.conn.Store(c)
 			}
@@ -75,7 +77,7 @@
 
 // guardedConn refuses writes when no attempt is bound to it, after the attempt's deadline, and after the attempt is sealed.
 type guardedConn struct {
-	net.Conn
+	*answer.Conn
 	current atomic.Pointer[attempt]
 }
 
--- a/internal/serve/relay/fault_test.go
+++ b/internal/serve/relay/fault_test.go
@@ -435,53 +435,71 @@
 	return s
 }
 
-// Guards against a status that HTTP does not have, of a target or of another host: nothing that its response says may count, the
-// caller must get 502 at once, and the connection must not be used again.
+// Guards against a status that HTTP does not have, of a target or of another host.
 func TestInvalidStatusMayHaveRun(t *testing.T) {
-	const atOnce = time.Second // The deadline is 5 s away.
 	for _, status := range []string{"000", "099", "600", "777", "999"} {
-		for name, head := range map[string]string{
-			"ran":     "Steering-Verdict: ran\r\n",
-			"not run": "Steering-Verdict: not-run\r\nSteering-Reason: no-capacity\r\nRetry-After: 9\r\n",
-		} {
-			answer := "HTTP/1.1 " + status + " X\r\nSteering-Request-Id: ID\r\nSteering-Draining: true\r\n" + head + "Content-Length: 0\r\n\r\n"
-			for _, method := range []string{http.MethodGet, http.MethodPost} {
-				for _, from := range []string{"target", "host"} {
-					t.Run(strings.Join([]string{status, name, method, from}, ", "), func(t *testing.T) {
-						s := newRawServer(t, answer)
-						spec := steer.Target{
-							ID:         "t1",
-							DataCentre: "a1",
-							Address:    s.address,
-						}
-						reason := steer.ReasonTargetFailed
-						if from == "host" {
-							spec.DataCentre = "a2"
-							reason = steer.ReasonForwardFailed
-						}
-						f := newFleet(t, spec)
-						h := f.addHost("h1", "a1", "a", nil)
-						if from == "host" {
-							f.addHost("h2", "a2", "a", nil).member.PeerAddress = s.address
-						}
-						used := make(map[string]bool)
-						for range 3 {
-							begun := time.Now()
-							a := call(t, newClient(t), method, h.url+"/s/reservas/x", nil, "Steering-Deadline-Ms", "5000")
-							assert.Assert(t, time.Since(begun) < atOnce)
-							a.check(t, steer.MayHaveRun, reason)
-							assert.Equal(t, a.status, http.StatusBadGateway)
-							assert.Equal(t, len(s.requests), 1, "sent again")
-							connection := <-s.requests
-							assert.Assert(t, !used[connection], "connection was used again")
-							used[connection] = true
-							if from == "target" {
-								o := <-h.outcomes
-								assert.Assert(t, o.Failed && o.Verdict == steer.MayHaveRun && !o.Draining && !o.Shed, "%+v", o)
-							}
+		t.Run(status, func(t *testing.T) { checkHeadInDoubt(t, status+" X\r\nSteering-Draining: true") })
+	}
+}
+
+// Guards against a field of a target or of another host whose name holds a blank or a control byte: it may be one that says where the
+// body ends, or what became of the request.
+func TestInvalidFieldNameMayHaveRun(t *testing.T) {
+	for _, field := range []string{
+		"X Y: 1", "X : 1", " X: 1", "\tX: 1", "X\x01Y: 1", "X\x00: 1", "X\t: 1",
+		"Content-Length : 9", " Content-Length: 9", "Transfer-Encoding : chunked", "Steering-Request-Id : other", " Steering-Draining: true",
+	} {
+		for _, status := range []string{"200 OK", "503 Busy"} {
+			t.Run(fmt.Sprintf("%s, %q", status, field), func(t *testing.T) { checkHeadInDoubt(t, status+"\r\nDate: now\r\n"+field) })
+		}
+	}
+}
+
+// checkHeadInDoubt lets a target, and then another host, answer with a head that begins with the given lines: nothing that the response
+// says may count, the caller must get 502 at once, and the connection must not be used again.
+func checkHeadInDoubt(t *testing.T, begin string) {
+	const atOnce = time.Second // The deadline is 5 s away.
+	for name, head := range map[string]string{
+		"ran":     "Steering-Verdict: ran\r\n",
+		"not run": "Steering-Verdict: not-run\r\nSteering-Reason: no-capacity\r\nRetry-After: 9\r\n",
+	} {
+		answer := "HTTP/1.1 " + begin + "\r\nSteering-Request-Id: ID\r\n" + head + "Content-Length: 0\r\n\r\n"
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			for _, from := range []string{"target", "host"} {
+				t.Run(strings.Join([]string{name, method, from}, ", "), func(t *testing.T) {
+					s := newRawServer(t, answer)
+					spec := steer.Target{
+						ID:         "t1",
+						DataCentre: "a1",
+						Address:    s.address,
+					}
+					reason := steer.ReasonTargetFailed
+					if from == "host" {
+						spec.DataCentre = "a2"
+						reason = steer.ReasonForwardFailed
+					}
+					f := newFleet(t, spec)
+					h := f.addHost("h1", "a1", "a", nil)
+					if from == "host" {
+						f.addHost("h2", "a2", "a", nil).member.PeerAddress = s.address
+					}
+					used := make(map[string]bool)
+					for range 3 {
+						begun := time.Now()
+						a := call(t, newClient(t), method, h.url+"/s/reservas/x", nil, "Steering-Deadline-Ms", "5000")
+						assert.Assert(t, time.Since(begun) < atOnce)
+						a.check(t, steer.MayHaveRun, reason)
+						assert.Equal(t, a.status, http.StatusBadGateway)
+						assert.Equal(t, len(s.requests), 1, "sent again")
+						connection := <-s.requests
+						assert.Assert(t, !used[connection], "connection was used again")
+						used[connection] = true
+						if from == "target" {
+							o := <-h.outcomes
+							assert.Assert(t, o.Failed && o.Verdict == steer.MayHaveRun && !o.Draining && !o.Shed, "%+v", o)
 						}
-					})
-				}
+					}
+				})
 			}
 		}
 	}
--- a/internal/serve/relay/pool.go
+++ b/internal/serve/relay/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/answer"
 )
 
 const (
@@ -38,7 +39,7 @@
 				return nil, err
 			}
 			return &guardedConn{
-				Conn: c,
+				Conn: answer.NewConn(c),
 			}, nil
 		},
 		DisableCompression:     true,
