Reject requests with invalid field names

What callers could do: a request with "Content-Length : 18" was taken for one without a body, and its body for the next request on the connection. A target could run a request that no caller sent. The line was passed on as well, to targets that may accept it.

Cause: http.ReadRequest accepts a space in the name of a field. The server of net/http checks the names afterwards; package front reads requests by itself and did not.

Change: such a request is answered with 400, and its connection is closed. Folded lines are joined as before, which RFC 9112, section 5.2, allows.

Evidence: 3 of 7 new rows of front.TestRejectsUnreadableRequests got 200 before, all get 400 now. Names with a tab or a control byte, and values with a null byte or a carriage return, were rejected already.

--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
@@ -120,6 +123,9 @@
 	c.meter.SetLimit(int64(limits.HeaderBytes))
 	r, err := http.ReadRequest(c.reader)
 	c.meter.RemoveLimit() // Bodies have their own limit.
+	if err == nil {
+		err = checkNames(r.Header)
+	}
 	if err != nil {
 		return nil, classifyReadError(err)
 	}
@@ -170,6 +176,17 @@
 	}, nil
 }
 
+// checkNames returns an error if the name of a header is not a token. http.ReadRequest accepts names that contain a space, and then
+// ignores the framing of "Content-Length : 2", so the body would be read as the next request.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("invalid header name %q", name)
+		}
+	}
+	return nil
+}
+
 // awaitRequest waits for the first byte of a request. It returns an error if the connection is idle for longer than
 // idleTimeout. A connection with requests in progress is not idle.
 func (c *conn) awaitRequest(idleTimeout time.Duration) error {
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -140,6 +140,13 @@
 		{name: "no protocol", send: "nonsense\r\n\r\n", want: 400},
 		{name: "two lengths", send: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", want: 400},
 		{name: "header that does not end", send: "GET / HTTP/1.1\r\nHost: h\r\n", want: 408},
+		{name: "space after the name of the length", send: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 18\r\n\r\nGET / HTTP/1.1\r\n\r\n", want: 400},
+		{name: "space after the name of the coding", send: "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", want: 400},
+		{name: "space in a name", send: "GET / HTTP/1.1\r\nHost: h\r\nX Y: 1\r\n\r\n", want: 400},
+		{name: "tab after a name", send: "GET / HTTP/1.1\r\nHost: h\r\nX\t: 1\r\n\r\n", want: 400},
+		{name: "control byte in a name", send: "GET / HTTP/1.1\r\nHost: h\r\nX\x01Y: 1\r\n\r\n", want: 400},
+		{name: "null byte in a value", send: "GET / HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n", want: 400},
+		{name: "carriage return in a value", send: "GET / HTTP/1.1\r\nHost: h\r\nX: a\rContent-Length: 3\r\n\r\n", want: 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, address := startServer(t, echo)
