--- a/internal/edge/answer/conn.go
+++ b/internal/edge/answer/conn.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// ExpectHead begins the head of an answer, of which some bytes may have been read already. Without it, no head is expected. It returns
-// ErrNotOne if these bytes contain a folded line.
+// ExpectHead announces that the next bytes belong to the head of an answer, of which the given ones have been read already. It returns
+// ErrNotOne if these contain a folded line. Lines are checked only in heads that are announced.
 func (c *Conn) ExpectHead(buffered []byte) error {
 	c.mu.Lock()
 	c.lines = headLines{
@@ -81,8 +81,8 @@
 	return n, err
 }
 
-// Read implements net.Conn. When the server has closed the connection, it ends a write in progress, whose answer cannot come any
-// more.
+// Read implements net.Conn. When the server has closed the connection, it ends a write in progress: no answer to it can follow, and
+// the result of the write tells a failure from a proper end.
 func (c *Conn) Read(b []byte) (int, error) {
 	if _, err := c.checkLines(nil); err != nil {
 		return 0, err
--- a/internal/edge/back/back_test.go
+++ b/internal/edge/back/back_test.go
@@ -203,6 +203,7 @@
 		{name: "no protocol", answer: "garbage\r\n\r\n|CLOSE", verdict: steer.MayHaveRun},
 		{name: "no answer", answer: "|CLOSE", verdict: steer.MayHaveRun},
 		{name: "reset", answer: "|RESET", verdict: steer.MayHaveRun},
+		{name: "reset without a length", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\nabc|RESET", verdict: steer.MayHaveRun},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newScriptedTarget(t, func(int, int) string { return c.answer })
