Check field names of answers and requests with one function

Cause: packages answer and front had the same loop over the names of a head, one for answers and one for requests.

Change: answer.CheckNames serves both. Readers of answers add ErrNotOne to its error, and the texts of all errors stay.

Result: no behaviour changes. The tests of answer and front, and those of field names, statuses and resets in back, relay, probe and platform pass with -race.

--- a/internal/edge/answer/answer.go
+++ b/internal/edge/answer/answer.go
@@ -40,12 +40,12 @@
 	return nil
 }
 
-// checkNames returns ErrNotOne if the name of a header is not a token. net/http accepts names that contain a space, and then ignores
-// the framing of "Content-Length : 2".
-func checkNames(header http.Header) error {
+// CheckNames returns an error if the name of a header of an answer or a request is not a token. net/http accepts names that contain a
+// space, and then ignores the framing of "Content-Length : 2".
+func CheckNames(header http.Header) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: invalid header name %q", ErrNotOne, name)
+			return fmt.Errorf("invalid header name %q", name)
 		}
 	}
 	return nil
@@ -57,8 +57,8 @@
 	if err := CheckStatus(response.StatusCode); err != nil {
 		return err
 	}
-	if err := checkNames(response.Header); err != nil {
-		return err
+	if err := CheckNames(response.Header); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotOne, err)
 	}
 	if err := checkText(response.Status); err != nil {
 		return err
--- a/internal/edge/answer/transport.go
+++ b/internal/edge/answer/transport.go
@@ -30,8 +30,8 @@
 		return nil, err
 	}
 	err = CheckStatus(response.StatusCode)
-	if err == nil {
-		err = checkNames(response.Header)
+	if invalid := CheckNames(response.Header); err == nil && invalid != nil {
+		err = fmt.Errorf("%w: %w", ErrNotOne, invalid)
 	}
 	if err == nil && response.StatusCode == http.StatusSwitchingProtocols && r.Header.Get("Upgrade") == "" {
 		err = fmt.Errorf("%w: it switches protocols", ErrNotOne)
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,8 +13,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
+	"monsoonhub.example/steer/internal/edge/answer"
 	"monsoonhub.example/steer/internal/edge/conns"
 	"monsoonhub.example/steer/internal/edge/meter"
 )
@@ -124,7 +122,7 @@
 	r, err := http.ReadRequest(c.reader)
 	c.meter.RemoveLimit() // Bodies have their own limit.
 	if err == nil {
-		err = checkNames(r.Header)
+		err = answer.CheckNames(r.Header) // Otherwise a body whose length is ignored is read as the next request.
 	}
 	if err != nil {
 		return nil, classifyReadError(err)
@@ -176,17 +174,6 @@
 	}, nil
 }
 
-// checkNames returns an error if the name of a header is not a token. http.ReadRequest accepts names that contain a space, and then
-// ignores the framing of "Content-Length : 2", so the body would be read as the next request.
-func checkNames(header http.Header) error {
-	for name := range header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("invalid header name %q", name)
-		}
-	}
-	return nil
-}
-
 // awaitRequest waits for the first byte of a request. It returns an error if the connection is idle for longer than
 // idleTimeout. A connection with requests in progress is not idle.
 func (c *conn) awaitRequest(idleTimeout time.Duration) error {
