Show an interim answer inside the body of another answer

Seen: a caller that sends a request with "Expect: 100-continue" while it reads a long answer on the same connection gets status 200, the signature and the whole length, with "HTTP/1.1 100 Continue" inside the body (MIXED).

Cause: front.readBody writes the interim answer from the goroutine that reads, while writeLarge writes an earlier answer in steps of 128 KB.

The commit also has the stand-ins of the other cases.

--- /dev/null
+++ b/review/_standin-2/cases.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+const hostName = "ficu95.example"
+
+func route(kind, prefix, service string, timeout, aim float64) map[string]any {
+	return map[string]any{
+		"host": hostName, "prefix": prefix, "service": service, "kind": kind, "timeout-s": timeout, "target-latency-s": aim,
+		"max-attempts": 2, "priority": 1, "skip-auth": true,
+	}
+}
+
+func config(version string, routes map[string]any, services ...string) map[string]any {
+	list := map[string]any{}
+	for _, name := range services {
+		list[name] = map[string]any{"health-path": "/health", "max-connections": 330, "warmup-s": 3, "warmup-per-s": 15}
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "services": list, "tenants": map[string]any{},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-s": 5, "idle-timeout-s": 15},
+	}
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+func head(method, path, id string, deadline time.Duration, more ...string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nX-Monsoonhub-Request-Id: " + id +
+		fmt.Sprintf("\r\nX-Monsoonhub-Deadline-Ms: %d\r\n", deadline.Milliseconds()) + strings.Join(more, "") + "\r\n"
+}
+
+// pattern returns the bytes that an instance answers: lines of text that name the request, so that each place differs.
+func pattern(id string, size int) []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%s line %06d of the answer\n", id, i)
+	}
+	return b.Bytes()[:size]
+}
+
+// readAnswer reads one answer that is no informational one, and calls begun when its first bytes are there.
+func readAnswer(reader *bufio.Reader, begun func()) (*http.Response, []byte, int, error) {
+	informational := 0
+	for {
+		if _, err := reader.Peek(1); err != nil {
+			return nil, nil, informational, err
+		}
+		begun()
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return nil, nil, informational, err
+		}
+		if response.StatusCode == http.StatusContinue {
+			informational++
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		return response, body, informational, err
+	}
+}
+
+// runContinue: a caller sends a further safe request with a body on the connection on which a large answer has begun, and asks whether
+// the body is wanted. Without trouble it sends that request when it has the whole answer.
+func runContinue(f *fleet, trouble bool) (bool, string) {
+	const (
+		size    = 540000 // Of the largest answer of guide-download.
+		callers = 4
+		length  = 60 * time.Second
+		most    = 20 // Broken answers after which it ends.
+	)
+	all := &runs{}
+	answer := func(r *http.Request) []byte {
+		if strings.HasPrefix(r.URL.Path, "/guide/") {
+			return pattern(r.Header.Get("X-Monsoonhub-Request-Id"), size)
+		}
+		return pattern(r.Header.Get("X-Monsoonhub-Request-Id"), 400)
+	}
+	f.store.put("op/config", config("00000001", map[string]any{
+		"guide":  route("download", "/guide/", "docs", 3, 0.4),
+		"lookup": route("safe", "/lookup/", "docs", 3, 0.4),
+	}, "docs"))
+	for i, zone := range []string{"golfo-a", "golfo-b"} {
+		f.addInstance(fmt.Sprintf("i-%d", i), "docs", zone, 9, 2*time.Millisecond, all, answer)
+	}
+	h := f.addHost("front-golfo-a-1", "golfo-a")
+	f.start(h)
+	f.awaitReady()
+	var mu sync.Mutex
+	broken, sent := 0, 0
+	example := ""
+	var wait sync.WaitGroup
+	end := time.Now().Add(length)
+	for range callers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for time.Now().Before(end) {
+				mu.Lock()
+				enough := broken >= most
+				mu.Unlock()
+				if enough {
+					return
+				}
+				first, second := newID(), newID()
+				socket, err := net.Dial("tcp", h.front)
+				must(err)
+				_ = socket.SetDeadline(time.Now().Add(4 * time.Second))
+				_, err = io.WriteString(socket, head("GET", "/guide/1", first, 3*time.Second))
+				must(err)
+				reader := bufio.NewReaderSize(socket, 64<<10)
+				further := func() {
+					_, _ = io.WriteString(socket, head("POST", "/lookup/1", second, 3*time.Second, "Content-Length: 5\r\n", "Expect: 100-continue\r\n"))
+				}
+				begun := sync.OnceFunc(func() {
+					if trouble {
+						further()
+					}
+				})
+				response, body, _, err := readAnswer(reader, begun)
+				mu.Lock()
+				sent++
+				mu.Unlock()
+				if err != nil {
+					f.record.add("answer to %s GET /guide/1: %v", first, err)
+					_ = socket.Close()
+					continue
+				}
+				want := pattern(first, size)
+				if response.StatusCode == http.StatusOK && !bytes.Equal(body, want) {
+					at := 0
+					for at < len(body) && at < len(want) && body[at] == want[at] {
+						at++
+					}
+					mu.Lock()
+					broken++
+					example = fmt.Sprintf("from byte %d: %q", at, body[at:min(at+60, len(body))])
+					mu.Unlock()
+					f.record.add("answer to %s GET /guide/1: status %d, id %s, signature %q, %d bytes, which differ from the instance's from byte %d: %q",
+						first, response.StatusCode, response.Header.Get("X-Monsoonhub-Request-Id"),
+						response.Header.Get("X-Monsoonhub-Server-Signature"), len(body), at, body[at:min(at+80, len(body))])
+					_ = socket.Close()
+					continue
+				}
+				if !trouble {
+					further()
+				}
+				_, _ = io.WriteString(socket, "hello")
+				response, _, informational, err := readAnswer(reader, func() {})
+				if err != nil {
+					f.record.add("answers to %s as sent; answer to %s POST /lookup/1: %v", first, second, err)
+				} else {
+					f.record.add("answers to %s as sent; answer to %s POST /lookup/1: status %d after %d informational", first, second, response.StatusCode, informational)
+				}
+				_ = socket.Close()
+			}
+		}()
+	}
+	wait.Wait()
+	for _, r := range all.all() {
+		f.record.add("run %s at %s: %s", r.id, r.instance, r.line)
+	}
+	return broken > 0, fmt.Sprintf("%d of %d answers with status 200, the instance's signature and the whole length had another body than the instance sent; %s", broken, sent, example)
+}
+
+// runLeft: some callers that send many safe requests ahead leave before the answers.
+func runLeft(f *fleet, trouble bool) (bool, string) {
+	const (
+		ahead   = 24                      // Requests that a caller sends before the first answer.
+		work    = 1440 * time.Millisecond // Of ice-report.
+		leaves  = 500 * time.Millisecond  // Half the aim of ice-report.
+		callers = 5                       // One of them leaves: a share of 0.2.
+		rounds  = 5
+	)
+	all := &runs{}
+	f.store.put("op/config", config("00000001", map[string]any{
+		"ice-report": route("safe", "/ice/", "convoyes", 2.5, 1),
+	}, "convoyes"))
+	zones := []string{"golfo-a", "golfo-b", "pacifico-a", "pacifico-b", "altiplano-a", "altiplano-b"}
+	for i := range 24 {
+		f.addInstance(fmt.Sprintf("i-%02d", i), "convoyes", zones[i%len(zones)], 8, work, all, func(r *http.Request) []byte {
+			return pattern(r.Header.Get("X-Monsoonhub-Request-Id"), 400)
+		})
+	}
+	h := f.addHost("front-golfo-a-1", "golfo-a")
+	f.start(h)
+	f.awaitReady()
+	leftAt := map[string]time.Time{}
+	var mu sync.Mutex
+	answered := 0
+	for range rounds {
+		var wait sync.WaitGroup
+		for caller := range callers {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				socket, err := net.Dial("tcp", h.front)
+				must(err)
+				defer func() { _ = socket.Close() }()
+				_ = socket.SetDeadline(time.Now().Add(9 * time.Second))
+				var text strings.Builder
+				var ids []string
+				for i := range ahead {
+					id := newID()
+					ids = append(ids, id)
+					text.WriteString(head("GET", fmt.Sprintf("/ice/%d-%d", caller, i), id, 8*time.Second))
+				}
+				_, err = io.WriteString(socket, text.String())
+				must(err)
+				f.record.add("caller %d sent %d requests: %s", caller, ahead, strings.Join(ids, " "))
+				if trouble && caller == 0 {
+					time.Sleep(leaves)
+					_ = socket.Close()
+					now := time.Now()
+					mu.Lock()
+					for _, id := range ids {
+						leftAt[id] = now
+					}
+					mu.Unlock()
+					f.record.add("caller %d closed its connection", caller)
+					return
+				}
+				reader := bufio.NewReader(socket)
+				for range ids {
+					response, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						f.record.add("caller %d: %v", caller, err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, response.Body)
+					f.record.add("caller %d got %d for %s", caller, response.StatusCode, response.Header.Get("X-Monsoonhub-Request-Id"))
+					mu.Lock()
+					answered++
+					mu.Unlock()
+				}
+			}()
+		}
+		wait.Wait()
+		time.Sleep(time.Second)
+	}
+	list := all.all()
+	sort.Slice(list, func(i, j int) bool { return list[i].started.Before(list[j].started) })
+	late, lasting, atWork := 0, 0, 0
+	for _, r := range list {
+		left, ok := leftAt[r.id]
+		f.record.add("run %s at %s: began at %.3f s, ended at %.3f s, dropped %t, its caller left: %t", r.id, r.instance,
+			r.started.Sub(f.record.started).Seconds(), r.ended.Sub(f.record.started).Seconds(), r.cancelled, ok)
+		if !ok {
+			continue
+		}
+		limit := left.Add(500 * time.Millisecond)
+		switch {
+		case r.started.After(limit):
+			late++
+		case r.started.Add(work).After(limit):
+			lasting++
+			if r.ended.IsZero() || r.ended.After(limit) {
+				atWork++
+			}
+		}
+	}
+	why := fmt.Sprintf("%d requests reached an instance over 0.5 s after their caller had left; at %d of %d that would have lasted so long, instances were still at work 0.5 s after it; %d answers to the callers that stayed", late, atWork, lasting, answered)
+	return late > 3 || 4*atWork > lasting, why
+}
