Show a withdrawn key in use after many large versions were missed

Cause: the answer to its watch exceeds maxResponseBytes (8 MB), does not decode, and counts as a store that is down.

--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -3,14 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -273,3 +276,176 @@
 	why := fmt.Sprintf("%d requests reached an instance over 0.5 s after their caller had left; at %d of %d that would have lasted so long, instances were still at work 0.5 s after it; %d answers to the callers that stayed", late, atWork, lasting, answered)
 	return late > 3 || 4*atWork > lasting, why
 }
+
+// lookUp asks a directory for the hosts of a zone.
+func lookUp(address, zone string) ([]string, error) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + address + "/resolve?name=" + hostName + "&region=" + zoneRegions[zone] + "&zone=" + zone)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, err
+	}
+	return answer.Addresses, nil
+}
+
+// runNamed: a machine is removed without notice, and the store is down for a while from the same moment on.
+func runNamed(f *fleet, trouble bool) (bool, string) {
+	const (
+		contact = 3 * time.Second         // contact-s
+		outage  = 4500 * time.Millisecond // Largest platform_down of the site.
+		rounds  = 4
+		pause   = 50 * time.Millisecond // Between look-ups of all callers together.
+	)
+	all := &runs{}
+	f.store.put("op/config", config("00000001", map[string]any{"slot-query": route("safe", "/slot/", "reservas", 1, 0.3)}, "reservas"))
+	f.addInstance("i-0", "reservas", "golfo-a", 9, 50*time.Millisecond, all, func(*http.Request) []byte { return []byte("ok") })
+	first := f.addHost("front-golfo-a-1", "golfo-a")
+	f.start(first)
+	f.awaitReady()
+	named := 0
+	for round := range rounds {
+		second := f.addHost(fmt.Sprintf("front-golfo-a-%d", round+2), "golfo-a")
+		f.start(second)
+		f.awaitReady()
+		time.Sleep(4*time.Second + time.Duration(rand.IntN(1300))*time.Millisecond)
+		f.signal(second, syscall.SIGKILL)
+		killed := time.Now()
+		<-second.done
+		second.command = nil
+		f.record.add("machine %s is removed", second.name)
+		stable := killed
+		if trouble {
+			f.store.setDown(true)
+			f.record.add("the store is down")
+			time.Sleep(outage)
+			f.store.setDown(false)
+			f.record.add("the store is up")
+			stable = time.Now().Add(contact) // It is stable once it has been without disruption for contact-s.
+		}
+		for time.Since(killed) < outage+contact+3*time.Second {
+			time.Sleep(pause)
+			addresses, err := lookUp(first.directory, "golfo-a")
+			now := time.Now()
+			if err != nil {
+				f.record.add("look-up: %v", err)
+				continue
+			}
+			judged := now.After(stable) && now.Sub(killed) > contact+3*time.Second
+			dead := slices.Contains(addresses, second.front)
+			f.record.add("look-up: %v; %.2f s after the kill, names the removed machine: %t, judged: %t", addresses, now.Sub(killed).Seconds(), dead, judged)
+			if judged && dead && slices.Contains(addresses, first.front) {
+				named++
+			}
+		}
+	}
+	return named > 3, fmt.Sprintf("%d answers named, beside a running machine, one that had been killed over 6 s before, while the store was stable", named)
+}
+
+// runStorm: the store turns one machine of three away while new versions of the configuration come in quick succession. The last one
+// takes a key away.
+func runStorm(f *fleet, trouble bool) (bool, string) {
+	const (
+		routes   = 2600                   // 0.7 MB, below value-bytes.
+		versions = 12                     // config_storm of the site: for_s 4, gap_s 0.33.
+		gap      = 330 * time.Millisecond // Between two versions.
+		away     = 6 * time.Second        // The site's platform_down with how "nodes" lasts up to 9 s.
+		contact  = 3 * time.Second        // contact-s
+		apply    = 2500 * time.Millisecond
+		skew     = 5 * time.Second // max-skew-s, by which an unstable core stretches the bounds.
+		watched  = 16 * time.Second
+	)
+	all := &runs{}
+	withKeys := func(version int, keys ...string) []byte {
+		list := map[string]any{}
+		for i := range routes {
+			r := route("safe", fmt.Sprintf("/r%05d/", i), "reservas", 0.8, 0.3)
+			r["skip-auth"], r["affinity"], r["allowed-regions"] = false, true, []string{}
+			list[fmt.Sprintf("r-%05d%s", i, strings.Repeat("x", 8))] = r
+		}
+		c := config(fmt.Sprintf("%08x", version), list, "reservas")
+		c["tenants"] = map[string]any{"huka270": map[string]any{"api-keys": keys, "priority": 1, "rate-per-s": 248, "burst": 248, "allowed-regions": []string{}}}
+		data, err := json.Marshal(c)
+		must(err)
+		return data
+	}
+	const kept, taken = "xd9dnn2ctnfzs989anu6", "wsjnbanfqasnmgkcuyj8"
+	first := withKeys(1, kept, taken)
+	f.record.add("a version has %d bytes", len(first))
+	f.store.put("op/config", first)
+	for i, zone := range []string{"golfo-a", "pacifico-a", "altiplano-a"} {
+		f.addInstance(fmt.Sprintf("i-%d", i), "reservas", zone, 9, 50*time.Millisecond, all, func(*http.Request) []byte { return []byte("ok") })
+	}
+	address, busy := f.store.entrance()
+	h := f.addHostAt("front-golfo-a-1", "golfo-a", address)
+	f.addHost("front-pacifico-a-1", "pacifico-a")
+	f.addHost("front-altiplano-a-1", "altiplano-a")
+	for _, one := range f.hosts {
+		f.start(one)
+	}
+	f.awaitReady()
+	time.Sleep(4 * time.Second)
+	if trouble {
+		busy.Store(true)
+		f.record.add("the store turns %s away", h.name)
+	}
+	began := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	var acknowledged time.Time
+	for version := 2; version <= versions+1; version++ {
+		keys := []string{kept, taken}
+		if version == versions+1 {
+			keys = keys[:1]
+		}
+		f.store.put("op/config", withKeys(version, keys...))
+		acknowledged = time.Now()
+		f.record.add("version %d is acknowledged, with %d keys", version, len(keys))
+		time.Sleep(gap)
+	}
+	time.Sleep(time.Until(began.Add(away)))
+	busy.Store(false)
+	f.record.add("the store serves all machines")
+	judgedFrom := time.Now().Add(contact)
+	if bound := acknowledged.Add(apply + skew); bound.After(judgedFrom) {
+		judgedFrom = bound
+	}
+	if !trouble {
+		judgedFrom = acknowledged.Add(apply)
+	}
+	broken, judged := 0, 0
+	lastBroken := time.Time{}
+	for start := time.Now(); time.Since(start) < watched; time.Sleep(100 * time.Millisecond) {
+		id := newID()
+		socket, err := net.Dial("tcp", h.front)
+		must(err)
+		_ = socket.SetDeadline(time.Now().Add(2 * time.Second))
+		sent := time.Now()
+		_, err = io.WriteString(socket, head("GET", "/r00007/1", id, time.Second, "X-Monsoonhub-Credential: "+taken+"\r\n", "Connection: close\r\n"))
+		must(err)
+		status := 0
+		if response, err := http.ReadResponse(bufio.NewReader(socket), nil); err == nil {
+			status = response.StatusCode
+		}
+		_ = socket.Close()
+		ran := slices.ContainsFunc(all.all(), func(r run) bool { return r.id == id })
+		counts := sent.After(judgedFrom)
+		f.record.add("request %s with the key that was taken away, %.2f s after the acknowledgement: %d, run: %t, judged: %t", id, sent.Sub(acknowledged).Seconds(), status, ran, counts)
+		if counts {
+			judged++
+			if ran {
+				broken++
+				lastBroken = sent
+			}
+		}
+	}
+	why := fmt.Sprintf("%d of %d judged requests ran with a key that had been taken away", broken, judged)
+	if broken > 0 {
+		why += fmt.Sprintf(", the last one sent %.1f s after the acknowledgement", lastBroken.Sub(acknowledged).Seconds())
+	}
+	return broken > 0, why
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -25,6 +25,8 @@
 var cases = map[string]func(f *fleet, trouble bool) (bool, string){
 	"continue": runContinue,
 	"left":     runLeft,
+	"named":    runNamed,
+	"storm":    runStorm,
 }
 
 func main() {
