Show a removed machine in answers of the directory

Seen: the directory names a machine that was killed 7.5 to 8.5 s before, after an outage of the store in which leases paused (DRAIN).

Cause: the lease term of 4 s leaves out the time in which leases stand still, and entryCandidates names each registered host, also one that no host hears.

--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -313,7 +313,9 @@
 		second := f.addHost(fmt.Sprintf("front-golfo-a-%d", round+2), "golfo-a")
 		f.start(second)
 		f.awaitReady()
-		time.Sleep(4*time.Second + time.Duration(rand.IntN(1300))*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		f.store.awaitRenewal("monsoonhub/hosts/" + second.name)
+		time.Sleep(time.Duration(rand.IntN(700)) * time.Millisecond) // A renewal is made every 1.3 s.
 		f.signal(second, syscall.SIGKILL)
 		killed := time.Now()
 		<-second.done
--- a/review/_standin-2/fleet.go
+++ b/review/_standin-2/fleet.go
@@ -57,6 +57,8 @@
 	store  *store
 	record *record
 	hosts  []*host
+
+	stopOnce sync.Once
 }
 
 func newFleet(binary string, rec *record) *fleet {
@@ -173,7 +175,9 @@
 }
 
 // stop ends all processes and removes the folder.
-func (f *fleet) stop() {
+func (f *fleet) stop() { f.stopOnce.Do(f.stopAll) }
+
+func (f *fleet) stopAll() {
 	for _, h := range f.hosts {
 		if h.command == nil {
 			continue
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -9,7 +9,9 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +54,13 @@
 			code = 2
 		}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.stop()
+		os.Exit(2)
+	}()
 	timer := time.AfterFunc(110*time.Second, func() {
 		f.stop()
 		os.Exit(2)
--- a/review/_standin-2/store.go
+++ b/review/_standin-2/store.go
@@ -51,7 +51,7 @@
 	listener  net.Listener
 	handler   http.Handler
 	stop      chan struct{}
-	onRemove  func(key string)
+	onRenew   func(id uint64) // Called for each renewal of a lease, with the mutex held.
 }
 
 func newStore() *store {
@@ -191,9 +191,6 @@
 	s.rev++
 	s.events = append(s.events, event{Key: key, Rev: s.rev, Removed: true, at: time.Now()})
 	s.notify()
-	if s.onRemove != nil {
-		s.onRemove(key)
-	}
 }
 
 // put writes a key for the operator or an instance, which are never turned away here.
@@ -220,6 +217,25 @@
 	s.events = append(s.events, event{Key: key, Value: value, Rev: it.Rev, Created: it.Created, Lease: leaseID, at: time.Now()})
 }
 
+// awaitRenewal waits for the next renewal of the lease of a key.
+func (s *store) awaitRenewal(key string) {
+	renewed := make(chan struct{}, 1)
+	s.mu.Lock()
+	s.onRenew = func(id uint64) {
+		if s.items[key].Lease == id {
+			select {
+			case renewed <- struct{}{}:
+			default:
+			}
+		}
+	}
+	s.mu.Unlock()
+	<-renewed
+	s.mu.Lock()
+	s.onRenew = nil
+	s.mu.Unlock()
+}
+
 // keys returns the keys with a prefix.
 func (s *store) keys(prefix string) []string {
 	s.mu.Lock()
@@ -391,6 +407,9 @@
 	l := s.leases[id]
 	if l != nil {
 		l.left = l.ttl
+		if s.onRenew != nil {
+			s.onRenew(id)
+		}
 	}
 	s.mu.Unlock()
 	if l == nil {
