--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +19,9 @@
 
 const hostName = "ficu95.example"
 
+// callerPause is the pause of a caller that could not connect.
+const callerPause = 100 * time.Millisecond
+
 func route(kind, prefix, service string, timeout, aim float64) map[string]any {
 	return map[string]any{
 		"host": hostName, "prefix": prefix, "service": service, "kind": kind, "timeout-s": timeout, "target-latency-s": aim,
@@ -117,10 +121,17 @@
 				}
 				first, second := newID(), newID()
 				socket, err := net.Dial("tcp", h.front)
-				must(err)
+				if err != nil {
+					f.record.add("connect: %v", err)
+					time.Sleep(callerPause)
+					continue
+				}
 				_ = socket.SetDeadline(time.Now().Add(4 * time.Second))
-				_, err = io.WriteString(socket, head("GET", "/guide/1", first, 3*time.Second))
-				must(err)
+				if _, err := io.WriteString(socket, head("GET", "/guide/1", first, 3*time.Second)); err != nil {
+					f.record.add("send: %v", err)
+					_ = socket.Close()
+					continue
+				}
 				reader := bufio.NewReaderSize(socket, 64<<10)
 				further := func() {
 					_, _ = io.WriteString(socket, head("POST", "/lookup/1", second, 3*time.Second, "Content-Length: 5\r\n", "Expect: 100-continue\r\n"))
@@ -173,6 +184,9 @@
 	for _, r := range all.all() {
 		f.record.add("run %s at %s: %s", r.id, r.instance, r.line)
 	}
+	if sent == 0 {
+		panic(errors.New("no request was sent"))
+	}
 	return broken > 0, fmt.Sprintf("%d of %d answers with status 200, the instance's signature and the whole length had another body than the instance sent; %s", broken, sent, example)
 }
 
@@ -363,7 +377,7 @@
 	f.start(h)
 	f.awaitReady()
 	time.Sleep(time.Second)
-	broken, sent := 0, 0
+	broken, sent, whole := 0, 0, 0
 	example := ""
 	mu.Lock()
 	garbling = trouble
@@ -381,10 +395,17 @@
 					text = head("POST", "/book/"+id, id, time.Second, "Content-Length: 5\r\n") + "hello"
 				}
 				socket, err := net.Dial("tcp", h.front)
-				must(err)
+				if err != nil {
+					f.record.add("connect: %v", err)
+					time.Sleep(callerPause)
+					continue
+				}
 				_ = socket.SetDeadline(time.Now().Add(2 * time.Second))
-				_, err = io.WriteString(socket, text)
-				must(err)
+				if _, err := io.WriteString(socket, text); err != nil {
+					f.record.add("send: %v", err)
+					_ = socket.Close()
+					continue
+				}
 				response, err := http.ReadResponse(bufio.NewReader(socket), nil)
 				var body []byte
 				if err == nil {
@@ -403,6 +424,7 @@
 					f.record.add("%s %s: 200, signature %q, body of %d bytes that is not the instance's; it ends with %q", id, line,
 						response.Header.Get("X-Monsoonhub-Server-Signature"), len(body), body[len(body)-20:])
 				default:
+					whole++
 					f.record.add("%s %s: %d", id, line, response.StatusCode)
 				}
 				mu.Unlock()
@@ -414,5 +436,8 @@
 	for _, r := range all.all() {
 		f.record.add("run %s at %s: %s", r.id, r.instance, r.line)
 	}
+	if broken+whole == 0 {
+		panic(errors.New("no request was answered"))
+	}
 	return broken > 0, fmt.Sprintf("of %d requests, %d got status 200 and the signature with a body that is not the instance's (%d answers were spoiled); %s", sent, broken, spoiled, example)
 }
