--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -81,7 +81,7 @@
 // the body is wanted. Without trouble it sends that request when it has the whole answer.
 func runContinue(f *fleet, trouble bool) (bool, string) {
 	const (
-		size    = 540000 // Of the largest answer of guide-download.
+		size    = 540000 // The largest answer of guide-download on sernavij-lb-grown.
 		callers = 4
 		length  = 60 * time.Second
 		most    = 20 // Broken answers after which it ends.
@@ -94,7 +94,7 @@
 		return pattern(r.Header.Get("X-Monsoonhub-Request-Id"), 400)
 	}
 	f.store.put("op/config", config("00000001", map[string]any{
-		"guide":  route("download", "/guide/", "docs", 3, 0.4),
+		"guide":  route("safe", "/guide/", "docs", 3, 0.4),
 		"lookup": route("safe", "/lookup/", "docs", 3, 0.4),
 	}, "docs"))
 	for i, zone := range []string{"golfo-a", "golfo-b"} {
