Drop hosts that ended around an outage of the store from the directory in time

Cause: the lease of a registration ran for 4 s, which was chosen as less than contact-s + 3 s after the kill. A lease that stands still has all of its term left after the outage, and from contact-s (3 s or 4 s) after its end the directory must not name the host.

Change: - The term is 0.5 s below contact-s, at most 4 s: 2.5 s and 3.5 s. It comes from the new setting store-settle-s, 3 s if absent. - Hosts keep a registration that was removed until 4 s after the last renewal, as long as before, so that a pause of a process costs no more. They don't after an outage, nor for a host that left, which now marks its registration before it ends the lease. - Renewals begin a third of the term apart, also if a call gets no answer; so the shorter lease of a running host outlives an outage.

Why it works: whatever a lease has left at the end of an outage is less than the time for which the directory may name the host.

Cuts between hosts have no effect on it: the directory doesn't use what hosts hear of each other.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -61,6 +61,7 @@
 	LocalDataCentre string              // Data centre of this host.
 	History         time.Duration       // Maximum time that the platform keeps changes. 0 disables writing snapshots.
 	Regions         map[string]string   // Region by data centre.
+	HostLeaseTerm   time.Duration       // Term of the leases of hosts' registrations. 0 drops hosts at once when they are removed.
 	Relay           func(steer.Changes) // Receives the result of each watch of this host. Nil disables relaying.
 	Logger          log.Logger          // Nil means no logging.
 	Metrics         metrics.Registry    // Nil means a private registry.
@@ -119,6 +120,7 @@
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
+	f.table.host, f.table.hostLeaseTerm = c.Host, c.HostLeaseTerm
 	f.view.Store(f.table.view())
 	first := make(chan struct{})
 	f.changed.Store(&first)
@@ -286,13 +288,22 @@
 // dropExpired drops lapsed entries that did not come back in time, uses held ones that have stayed, and publishes the view if
 // there were any. It returns when to call it next, zero if no entry is waiting. The caller holds mu.
 func (f *Follower) dropExpired(now time.Time) time.Time {
-	next, changed := f.table.expire(now)
+	next, changed := f.expire(now)
 	if changed {
 		f.publish()
 	}
 	return next
 }
 
+// expire does the same without publishing the view, and reports whether it has changed. The caller holds mu.
+func (f *Follower) expire(now time.Time) (next time.Time, changed bool) {
+	next, changed, dropped := f.table.expire(now)
+	for _, key := range dropped {
+		_ = level.Info(f.logger).Log("msg", "Removed entry is no longer used.", "key", key)
+	}
+	return next, changed
+}
+
 func (f *Follower) run(ctx context.Context) {
 	started, listed := false, false
 	relisting := false // No watch has succeeded since the last one asked for a listing.
@@ -502,7 +513,7 @@
 		f.logChange(fact)
 	}
 	f.position.Revision = max(f.position.Revision, position.Revision)
-	f.table.expire(now)
+	f.expire(now)
 	f.publish()
 	if v := f.planVersion(); v != previous {
 		_ = level.Info(f.logger).Log("msg", "Plan in force.", "version", v, "before", previous, "era", position.Era,
--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -66,6 +66,111 @@
 	return list
 }
 
+// newHostFact returns the registration of a host.
+func newHostFact(id string, revision uint64, leaving bool) steer.Fact {
+	return steer.Fact{
+		Key:      "hosts/" + id,
+		Revision: revision,
+		Host: &steer.HostEntry{
+			ID:      id,
+			Leaving: leaving,
+		},
+	}
+}
+
+// Guards against a directory that drops a host which was paused for a moment, or names one that has left, or one that has been gone for
+// longer than its lease because the lease stood still during an outage.
+func TestHostRemoval(t *testing.T) {
+	const leaseTerm = 2500 * time.Millisecond
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name string
+		run  func(t belief.Table)
+		want []string
+	}{
+		{
+			name: "lease not renewed in time",
+			run: func(t belief.Table) {
+				t.Apply(at(10), removedFact("hosts/a", 10))
+				t.Expire(at(11.4))
+			},
+			want: []string{"a", "b", "own"},
+		},
+		{
+			name: "lease not renewed for 4 s",
+			run: func(t belief.Table) {
+				t.Apply(at(10), removedFact("hosts/a", 10))
+				t.Expire(at(11.5))
+			},
+			want: []string{"b", "own"},
+		},
+		{
+			name: "leaving",
+			run:  func(t belief.Table) { t.Apply(at(10), newHostFact("a", 10, true)) },
+			want: []string{"b", "own"},
+		},
+		{
+			name: "left",
+			run: func(t belief.Table) {
+				t.Apply(at(10), newHostFact("a", 10, true))
+				t.Apply(at(10), removedFact("hosts/a", 11))
+				t.Expire(at(10))
+			},
+			want: []string{"b", "own"},
+		},
+		{
+			name: "registration of this host",
+			run:  func(t belief.Table) { t.Apply(at(10), removedFact("hosts/own", 10)) },
+			want: []string{"a", "b"},
+		},
+		{
+			name: "lease that stood still during an outage",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(2))
+				t.MarkUnreachable(at(4))
+				t.MarkReachable(at(8))
+				t.Apply(at(10.4), removedFact("hosts/a", 10))
+				t.Expire(at(10.4))
+			},
+			want: []string{"b", "own"},
+		},
+		{
+			name: "lease that stood still during an outage in which this host made no call",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(4))
+				t.MarkReachable(at(6.1))
+				t.Apply(at(8.6), removedFact("hosts/a", 10))
+				t.Expire(at(8.6))
+			},
+			want: []string{"b", "own"},
+		},
+		{
+			name: "lease that was renewed after an outage",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(2))
+				t.MarkUnreachable(at(4))
+				t.MarkReachable(at(8))
+				t.Apply(at(12.1), removedFact("hosts/a", 10))
+				t.Expire(at(13.5))
+			},
+			want: []string{"a", "b", "own"},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := belief.NewTable(regions)
+			table.SetOwnHost("own", leaseTerm)
+			table.MarkReachable(at(0))
+			table.List(at(0), []steer.Fact{planFact(1, 1), newHostFact("a", 2, false), newHostFact("b", 3, false), newHostFact("own", 4, false)}, 5)
+			c.run(table)
+			var ids []string
+			for _, h := range table.View().Hosts {
+				ids = append(ids, h.ID)
+			}
+			assert.DeepEqual(t, ids, c.want)
+		})
+	}
+}
+
 // Guards against dropping targets whose entries lapsed while the platform was unreachable, and against keeping targets that
 // were removed.
 func TestTargetRemoval(t *testing.T) {
--- a/internal/edge/belief/export_test.go
+++ b/internal/edge/belief/export_test.go
@@ -16,6 +16,11 @@
 // Break makes the next plan panic, by an index without a plan.
 func (t Table) Break() { t.t.index = &index.Index{} }
 
+// SetOwnHost sets the ID of the host that holds the table, and the term of the leases of hosts.
+func (t Table) SetOwnHost(id string, leaseTerm time.Duration) {
+	t.t.host, t.t.hostLeaseTerm = id, leaseTerm
+}
+
 // List applies a listing and returns the errors of rejected entries.
 func (t Table) List(now time.Time, facts []steer.Fact, revision uint64) []error {
 	_, problems := t.t.list(now, facts, revision)
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -23,6 +23,15 @@
 
 	// lapseWindow is the time after an outage in which removals may stem from registrations that lapsed during it.
 	lapseWindow = 1500 * time.Millisecond
+
+	// silentHostRetention is the time for which a host stays known after it last renewed its lease, unless an outage of the
+	// platform came between. It covers a process that is paused, or cut off from the platform, for some seconds. The directory may name a
+	// host that is gone for contact-s + 3 s.
+	silentHostRetention = 4 * time.Second
+
+	// maxContactGap is the longest time between two answers of the platform without an outage: that of a watch, and some more if the
+	// platform is slow. A shorter outage lets no host stay known for longer than the directory may name it.
+	maxContactGap = 2 * time.Second
 )
 
 // errOldVersion means that an entry holds an older plan version than the one in force.
@@ -31,6 +40,8 @@
 // table holds the entries of the platform. It reads no clock: callers pass the time. It is not safe for concurrent use.
 type table struct {
 	regions        map[string]string // Region by data centre.
+	host           string            // ID of this host.
+	hostLeaseTerm  time.Duration     // Term of the leases of hosts.
 	index          *index.Index
 	facts          map[string]steer.Fact
 	planKey        string               // Key of the plan in force.
@@ -46,6 +57,7 @@
 	lostAt             time.Time // When the platform became unreachable; used only until it is reachable again.
 	peerReachableSince time.Time // Since when another host has reached it during an outage; zero for none.
 	regainedAt         time.Time // When the last outage ended, as first seen by this host or another.
+	answeredAgainAt    time.Time // When the platform last answered after an outage or a gap in which leases may have stood still.
 	restoredAt         time.Time // When this host learned that the store had returned from an older copy.
 	reachable          bool
 	lastContact        time.Time
@@ -191,7 +203,7 @@
 
 // remove drops an entry. A target is kept for reregisterGrace if an outage of the platform ended within lapseWindow, because
 // its registration may only have lapsed. If other hosts reached the platform all the while, only this host was cut off, and
-// the removal is final. After the store returned from a copy, any entry is kept.
+// the removal is final. After the store returned from a copy, any entry is kept. A host is kept as keepHostUntil says.
 func (t *table) remove(now time.Time, key string, revision uint64) {
 	known, ok := t.facts[key]
 	if !ok {
@@ -203,18 +215,40 @@
 		at:       now,
 	}
 	if known.Endpoint != nil && now.Sub(t.regainedAt) < lapseWindow || now.Sub(t.restoredAt) < lapseWindow {
-		if _, waiting := t.lapseDeadlines[key]; !waiting {
-			t.lapseDeadlines[key] = t.regainedAt.Add(reregisterGrace)
-		}
+		t.keepUntil(key, t.regainedAt.Add(reregisterGrace))
 		return
 	}
+	if known.Host != nil {
+		if until := t.keepHostUntil(now, known.Host); until.After(now) {
+			t.keepUntil(key, until)
+			return
+		}
+	}
 	delete(t.facts, key)
 	delete(t.lapseDeadlines, key)
 }
 
+// keepUntil keeps a removed entry until the given time, or until the time of an earlier removal.
+func (t *table) keepUntil(key string, until time.Time) {
+	if _, waiting := t.lapseDeadlines[key]; !waiting {
+		t.lapseDeadlines[key] = until
+	}
+}
+
+// keepHostUntil returns until when a host stays known whose registration was removed. It returns zero for a host that has left, for this
+// host, and after an outage: a host whose lease ended has been silent for the term of the lease, and for longer if the lease stood still.
+func (t *table) keepHostUntil(now time.Time, h *steer.HostEntry) time.Time {
+	switch {
+	case h.Leaving || h.ID == t.host || t.hostLeaseTerm == 0 || now.Sub(t.answeredAgainAt) < t.hostLeaseTerm+lapseWindow:
+		return time.Time{}
+	default:
+		return now.Add(silentHostRetention - t.hostLeaseTerm)
+	}
+}
+
 // expire drops lapsed entries that did not come back in time and uses held ones that have stayed, and reports whether there were
-// any. It returns when to call it next, zero if no entry is waiting.
-func (t *table) expire(now time.Time) (next time.Time, changed bool) {
+// any. It returns when to call it next, zero if no entry is waiting, and the keys of the dropped entries.
+func (t *table) expire(now time.Time) (next time.Time, changed bool, dropped []string) {
 	next, changed = t.releaseHeld(now)
 	for key, r := range t.removals {
 		if now.Sub(r.at) > removalRetention {
@@ -225,18 +259,21 @@
 		if !at.After(now) {
 			delete(t.lapseDeadlines, key)
 			delete(t.facts, key)
-			changed = true
+			changed, dropped = true, append(dropped, key)
 			continue
 		}
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
-	return next, changed
+	return next, changed, dropped
 }
 
 // markReachable records a successful call, and reports whether the platform was not reachable before.
 func (t *table) markReachable(now time.Time) bool {
+	if t.listed && (!t.reachable || now.Sub(t.lastContact) > maxContactGap) {
+		t.answeredAgainAt = now
+	}
 	t.lastContact = now
 	if t.reachable {
 		return false
@@ -300,7 +337,7 @@
 			v.Emptied[fact.Emptied] = true
 		case fact.Rejected != 0:
 			v.Rejected[fact.Rejected] = true
-		case fact.Host != nil:
+		case fact.Host != nil && !fact.Host.Leaving:
 			v.Hosts = append(v.Hosts, *fact.Host)
 		case fact.Endpoint != nil && fact.Endpoint.Draining:
 			v.Draining[fact.Endpoint.Service] = append(v.Draining[fact.Endpoint.Service], fact.Endpoint.ID)
--- a/internal/edge/belief/view.go
+++ b/internal/edge/belief/view.go
@@ -16,7 +16,7 @@
 	Draining       map[string][]string            // IDs of draining targets by service, sorted.
 	Emptied        map[string]bool                // Data centres whose targets get no requests.
 	Rejected       map[uint64]bool                // Keys of requests that are rejected, as in steer.Fact.
-	Hosts          []steer.HostEntry              // Registered hosts, sorted by id; may include this host.
+	Hosts          []steer.HostEntry              // Registered hosts that are not leaving, sorted by id; may include this host.
 	Listed         bool                           // The entries have been listed at least once.
 	Reachable      bool                           // The last call to the platform succeeded.
 	LastContact    time.Time                      // When the last call to the platform succeeded.
--- a/internal/edge/join/join.go
+++ b/internal/edge/join/join.go
@@ -14,26 +14,45 @@
 )
 
 const (
-	// leaseTerm is the term of the lease of a registration. It is below the time after which the directory may no longer name
-	// a host that is gone, which is contact-s + 3 s.
-	leaseTerm = 4 * time.Second
+	// maxLeaseTerm bounds the term of the lease of a registration. It is below the time after which the directory may no longer
+	// name a host that is gone, which is contact-s + 3 s.
+	maxLeaseTerm = 4 * time.Second
 
-	// renewInterval is the time between renewals. It leaves two renewals before the lease ends. A renewal costs a tenth of
-	// a call.
-	renewInterval = 1300 * time.Millisecond
+	// minLeaseTerm is the shortest term that the platform grants.
+	minLeaseTerm = time.Second
 
-	// minRetryDelay and maxRetryDelay bound the backoff after failed calls.
+	// dropTime is the time that hosts need to learn that a lease has ended: the answer to a watch, relayed to the other hosts
+	// of a data centre, after a pause that combines changes.
+	dropTime = 500 * time.Millisecond
+
+	// renewalsPerTerm is the number of renewals within the term of a lease. A lease survives the loss of two. A renewal costs a
+	// tenth of a call.
+	renewalsPerTerm = 3
+
+	// minRenewTimeout is more than the time that an answer takes while the platform is slow.
+	minRenewTimeout = 500 * time.Millisecond
+
+	// minRetryDelay and maxRetryDelay bound the backoff after failed calls, from the start of one call to that of the next. A
+	// call that fails late is followed by a pause of minRetryDelay.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 
-	// leaveTimeout bounds the call that ends a registration during a shutdown.
+	// leaveTimeout bounds the calls that end a registration during a shutdown.
 	leaveTimeout = 500 * time.Millisecond
 )
 
+// LeaseTerm returns the term of the lease of a registration. The settle time is the time after an outage of the platform after which
+// the directory must not name a host that ended before the outage or during it. Leases may stand still during an outage, so that the
+// whole term may be left at its end.
+func LeaseTerm(settle time.Duration) time.Duration {
+	return min(max(settle-dropTime, minLeaseTerm), maxLeaseTerm)
+}
+
 // Config configures a Member.
 type Config struct {
 	Catalog steer.Catalog
 	Host    steer.HostEntry
+	Term    time.Duration    // Of the lease, as LeaseTerm returns it. 0 selects the longest.
 	Logger  log.Logger       // Nil means no logging.
 	Metrics metrics.Registry // Nil means a private registry.
 }
@@ -53,6 +72,9 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
+	if c.Term == 0 {
+		c.Term = maxLeaseTerm
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Member{
 		config: c,
@@ -71,8 +93,8 @@
 	return m
 }
 
-// Leave ends the loop and the registration, so that directories no longer name this host. The call to the platform takes at
-// most leaveTimeout, and its error is only logged.
+// Leave ends the loop and the registration, so that directories no longer name this host. The calls to the platform take at
+// most leaveTimeout, and their errors are only logged.
 func (m *Member) Leave(ctx context.Context) {
 	m.cancel()
 	<-m.done
@@ -81,24 +103,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
+	announceErr := m.announceLeaving(ctx)
 	err := m.config.Catalog.Revoke(ctx, m.lease)
-	_ = level.Info(m.logger).Log("msg", "Registration ended.", "lease", m.lease.ID, "err", err)
+	_ = level.Info(m.logger).Log("msg", "Registration ended.", "lease", m.lease.ID, "announce-err", announceErr, "err", err)
+}
+
+// announceLeaving marks the registration as that of a host that leaves. Without the mark, other hosts can't distinguish its end from
+// that of a lease that was not renewed in time.
+func (m *Member) announceLeaving(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout/2)
+	defer cancel()
+	host := m.config.Host
+	host.Leaving = true
+	return m.config.Catalog.Announce(ctx, host, m.lease)
 }
 
 func (m *Member) run(ctx context.Context) {
-	pause := minRetryDelay
+	renewInterval := m.config.Term / renewalsPerTerm
+	delay := minRetryDelay
 	for ctx.Err() == nil {
+		startedAt := time.Now()
 		wait := renewInterval
 		err := errPanic
 		m.guard.Do("registration", func() { err = m.renewOrRegister(ctx) })
+		took := time.Since(startedAt)
 		if err != nil && ctx.Err() == nil {
-			wait = pause
-			pause = min(2*pause, maxRetryDelay)
+			wait = max(delay, took+minRetryDelay)
+			delay = min(2*delay, maxRetryDelay)
 			_ = level.Warn(m.logger).Log("msg", "Registration failed.", "lease", m.lease.ID, "err", err)
 		} else {
-			pause = minRetryDelay
+			delay = minRetryDelay
 		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(wait - took)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -113,14 +149,14 @@
 // renewOrRegister renews the lease, or registers the host under a new lease if there is none or it was lost.
 func (m *Member) renewOrRegister(ctx context.Context) error {
 	if m.lease != (steer.Lease{}) {
-		err := m.config.Catalog.Renew(ctx, m.lease)
+		err := m.renew(ctx)
 		if !errors.Is(err, steer.ErrLeaseLost) {
 			return err
 		}
 		_ = level.Warn(m.logger).Log("msg", "Lease lost, registering again.", "lease", m.lease.ID)
 		m.lease = steer.Lease{}
 	}
-	lease, err := m.config.Catalog.Grant(ctx, leaseTerm)
+	lease, err := m.config.Catalog.Grant(ctx, m.config.Term)
 	if err != nil {
 		return err
 	}
@@ -128,6 +164,15 @@
 		return err
 	}
 	m.lease = lease
-	_ = level.Info(m.logger).Log("msg", "Host registered.", "host", m.config.Host.ID, "lease", lease.ID, "era", lease.Era)
+	_ = level.Info(m.logger).Log("msg", "Host registered.", "host", m.config.Host.ID, "lease", lease.ID, "era", lease.Era,
+		"term", m.config.Term)
 	return nil
 }
+
+// renew renews the lease.
+func (m *Member) renew(ctx context.Context) error {
+	// An outage may begin with a call that gets no answer, and the next one must not come too late for the lease.
+	ctx, cancel := context.WithTimeout(ctx, max(m.config.Term/renewalsPerTerm, minRenewTimeout))
+	defer cancel()
+	return m.config.Catalog.Renew(ctx, m.lease)
+}
--- /dev/null
+++ b/internal/edge/join/named_test.go
@@ -0,0 +1,464 @@
+package join_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonhub.example/steer"
+	"monsoonhub.example/steer/internal/edge/belief"
+	"monsoonhub.example/steer/internal/edge/join"
+)
+
+const (
+	hostPrefix = "hosts/"
+
+	// sampleInterval is the time between two looks at which hosts are named.
+	sampleInterval = 20 * time.Millisecond
+
+	// storeTick is the precision with which leases end.
+	storeTick = 5 * time.Millisecond
+)
+
+// outage is a way in which a leaseStore is down.
+type outage struct {
+	refuses bool // Calls fail at once. Otherwise they get no answer.
+	lapse   bool // Leases run on. Otherwise they stand still.
+}
+
+// leaseStore is a platform in memory whose leases end while it runs and, depending on the outage, while it is down.
+type leaseStore struct {
+	mu      sync.Mutex
+	history []steer.Fact
+	entries map[string]steer.Fact
+	leaseOf map[string]steer.LeaseID // By key.
+	leases  map[steer.LeaseID]*lease
+	granted int
+	outage  *outage       // Nil while the store is up.
+	changed chan struct{} // Closed at the next change.
+}
+
+type lease struct{ term, left time.Duration }
+
+// newLeaseStore returns a store that runs until ctx ends.
+func newLeaseStore(ctx context.Context) *leaseStore {
+	s := &leaseStore{
+		entries: map[string]steer.Fact{},
+		leaseOf: map[string]steer.LeaseID{},
+		leases:  map[steer.LeaseID]*lease{},
+		changed: make(chan struct{}),
+	}
+	go func() {
+		ticker := time.NewTicker(storeTick)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				s.runLeases()
+			}
+		}
+	}()
+	return s
+}
+
+func (s *leaseStore) runLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage != nil && !s.outage.lapse {
+		return
+	}
+	for id, l := range s.leases {
+		if l.left -= storeTick; l.left <= 0 {
+			s.end(id)
+		}
+	}
+}
+
+// end ends a lease and removes its entries. The caller holds mu.
+func (s *leaseStore) end(id steer.LeaseID) {
+	delete(s.leases, id)
+	for key, owner := range s.leaseOf {
+		if owner == id {
+			delete(s.leaseOf, key)
+			s.write(steer.Fact{
+				Key:     key,
+				Removed: true,
+			})
+		}
+	}
+}
+
+// write records a change. The caller holds mu.
+func (s *leaseStore) write(fact steer.Fact) {
+	fact.Revision = uint64(len(s.history) + 1)
+	s.history = append(s.history, fact)
+	if fact.Removed {
+		delete(s.entries, fact.Key)
+	} else {
+		s.entries[fact.Key] = fact
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *leaseStore) setOutage(o *outage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// storeClient is the store as one host reaches it.
+type storeClient struct {
+	steer.Catalog
+	store *leaseStore
+
+	mu     sync.Mutex
+	silent bool // Calls get no answer: the process is paused, cut off or gone.
+}
+
+func (c *storeClient) setSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+func (c *storeClient) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+// callTimeout bounds the calls of a storeClient, as it does those of the client of the platform.
+const callTimeout = 1500 * time.Millisecond
+
+var errNoAnswer = errors.New("no answer")
+
+// call locks the store. A call that gets no answer fails after the timeout or with ctx, and has no effect.
+func (c *storeClient) call(ctx context.Context, timeout time.Duration) error {
+	c.store.mu.Lock()
+	if o := c.store.outage; o != nil && o.refuses {
+		c.store.mu.Unlock()
+		return errors.Join(steer.ErrUnknown, errNoAnswer)
+	}
+	if c.store.outage == nil && !c.isSilent() {
+		return nil
+	}
+	c.store.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-ctx.Done()
+	return errors.Join(steer.ErrUnknown, errNoAnswer)
+}
+
+func (c *storeClient) Grant(ctx context.Context, term time.Duration) (steer.Lease, error) {
+	if err := c.call(ctx, callTimeout); err != nil {
+		return steer.Lease{}, err
+	}
+	defer c.store.mu.Unlock()
+	c.store.granted++
+	id := steer.LeaseID(fmt.Sprint(c.store.granted))
+	c.store.leases[id] = &lease{
+		term: term,
+		left: term,
+	}
+	return steer.Lease{
+		ID: id,
+	}, nil
+}
+
+func (c *storeClient) Renew(ctx context.Context, l steer.Lease) error {
+	if err := c.call(ctx, callTimeout); err != nil {
+		return err
+	}
+	defer c.store.mu.Unlock()
+	known := c.store.leases[l.ID]
+	if known == nil {
+		return steer.ErrLeaseLost
+	}
+	known.left = known.term
+	return nil
+}
+
+func (c *storeClient) Revoke(ctx context.Context, l steer.Lease) error {
+	if err := c.call(ctx, callTimeout); err != nil {
+		return err
+	}
+	defer c.store.mu.Unlock()
+	c.store.end(l.ID)
+	return nil
+}
+
+func (c *storeClient) Announce(ctx context.Context, host steer.HostEntry, l steer.Lease) error {
+	if err := c.call(ctx, callTimeout); err != nil {
+		return err
+	}
+	defer c.store.mu.Unlock()
+	if c.store.leases[l.ID] == nil {
+		return steer.ErrLeaseLost
+	}
+	c.store.leaseOf[hostPrefix+host.ID] = l.ID
+	c.store.write(steer.Fact{
+		Key:  hostPrefix + host.ID,
+		Host: &host,
+	})
+	return nil
+}
+
+func (c *storeClient) List(ctx context.Context) ([]steer.Fact, steer.Position, error) {
+	if err := c.call(ctx, callTimeout); err != nil {
+		return nil, steer.Position{}, err
+	}
+	defer c.store.mu.Unlock()
+	var facts []steer.Fact
+	for _, fact := range c.store.entries {
+		facts = append(facts, fact)
+	}
+	return facts, steer.Position{
+		Revision: uint64(len(c.store.history)),
+	}, nil
+}
+
+func (c *storeClient) Snapshot(context.Context) ([]byte, error) { return nil, nil }
+
+func (c *storeClient) Changes(ctx context.Context, after steer.Position, wait time.Duration) ([]steer.Fact, steer.Position, error) {
+	const margin = 600 * time.Millisecond // As that of the client of the platform.
+	end := time.Now().Add(wait)
+	for {
+		if err := c.call(ctx, time.Until(end)+margin); err != nil {
+			return nil, steer.Position{}, err
+		}
+		facts := slices.Clone(c.store.history[after.Revision:])
+		changed := c.store.changed
+		c.store.mu.Unlock()
+		if len(facts) > 0 || !time.Now().Before(end) {
+			return facts, steer.Position{
+				Revision: after.Revision + uint64(len(facts)),
+			}, nil
+		}
+		timer := time.NewTimer(time.Until(end))
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, steer.Position{}, errors.Join(steer.ErrDown, ctx.Err())
+		}
+	}
+}
+
+// registeredHost is a host that is registered and follows which others are.
+type registeredHost struct {
+	client   *storeClient
+	member   *join.Member
+	follower *belief.Follower
+}
+
+// names reports whether the directory of this host names another one.
+func (h *registeredHost) names(id string) bool {
+	return slices.ContainsFunc(h.follower.View().Hosts, func(e steer.HostEntry) bool { return e.ID == id })
+}
+
+// registeredFleet is some hosts with their store. Each watches the store itself.
+type registeredFleet struct {
+	store *leaseStore
+	hosts map[string]*registeredHost // By id.
+	stop  context.CancelFunc
+}
+
+// startFleet starts hosts that learn within the settle time after an outage which others have ended.
+func startFleet(settle time.Duration, ids ...string) *registeredFleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &registeredFleet{
+		store: newLeaseStore(ctx),
+		hosts: map[string]*registeredHost{},
+		stop:  cancel,
+	}
+	for i, id := range ids {
+		client := &storeClient{
+			store: f.store,
+		}
+		h := &registeredHost{
+			client: client,
+			follower: belief.New(belief.Config{
+				Catalog:       client,
+				Host:          id,
+				HostLeaseTerm: join.LeaseTerm(settle),
+			}),
+		}
+		h.member = join.New(join.Config{
+			Catalog: client,
+			Host: steer.HostEntry{
+				ID: id,
+			},
+			Term: join.LeaseTerm(settle),
+		})
+		f.hosts[id] = h
+		time.Sleep(time.Duration(i+1) * 170 * time.Millisecond) // Hosts renew their leases at different moments.
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *registeredFleet) shutDown() {
+	f.store.setOutage(nil)
+	for _, h := range f.hosts {
+		h.client.setSilent(false)
+		h.member.Leave(context.Background())
+		h.follower.Stop()
+	}
+	f.stop()
+}
+
+// unnamed samples for some time which hosts are named, and returns for how long some directory lacked one of the ids.
+func (f *registeredFleet) unnamed(d time.Duration, ids ...string) time.Duration {
+	var missing time.Duration
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sampleInterval) {
+		synctest.Wait()
+		for id, h := range f.hosts {
+			if slices.ContainsFunc(ids, func(other string) bool { return other != id && !h.names(other) }) {
+				missing += sampleInterval
+				break
+			}
+		}
+	}
+	return missing
+}
+
+// phases are the times by which a test shifts its disruption against the renewals of leases.
+func phases() []time.Duration {
+	var list []time.Duration
+	for d := time.Duration(0); d < 1300*time.Millisecond; d += 130 * time.Millisecond {
+		list = append(list, d)
+	}
+	return list
+}
+
+// outages are the ways in which the store is down.
+var outages = map[string]outage{
+	"no answer, leases stand still": {},
+	"refused, leases stand still":   {refuses: true},
+	"no answer, leases run":         {lapse: true},
+	"refused, leases run":           {refuses: true, lapse: true},
+}
+
+// Guards against directories that name a host that is gone after an outage in which leases stand still: 3 s after its end and 6 s after the
+// host ended, callers may no longer be sent there.
+func TestDirectoryDropsHostThatEndsAroundOutage(t *testing.T) {
+	const length = 4500 * time.Millisecond
+	for name, o := range outages {
+		for _, endsAfter := range []time.Duration{-500 * time.Millisecond, 0, time.Second, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%s, host ends %v after its begin", name, endsAfter), func(t *testing.T) {
+				for _, settle := range []time.Duration{3 * time.Second, 4 * time.Second} {
+					for _, phase := range phases() {
+						synctest.Test(t, func(t *testing.T) { checkDropped(t, o, length, endsAfter, settle, phase) })
+					}
+				}
+			})
+		}
+	}
+}
+
+func checkDropped(t *testing.T, o outage, length, endsAfter, settle, phase time.Duration) {
+	f := startFleet(settle, "a", "b", "c")
+	defer f.shutDown()
+	time.Sleep(phase)
+	begin := time.Now().Add(max(0, -endsAfter))
+	ended := begin.Add(endsAfter)
+	go func() {
+		time.Sleep(time.Until(ended))
+		f.hosts["b"].client.setSilent(true)
+	}()
+	time.Sleep(time.Until(begin))
+	f.store.setOutage(&o)
+	time.Sleep(length)
+	f.store.setOutage(nil)
+	limit := time.Now().Add(settle)
+	if other := ended.Add(settle + 3*time.Second); other.After(limit) {
+		limit = other
+	}
+	time.Sleep(time.Until(limit))
+	synctest.Wait()
+	assert.Assert(t, !f.hosts["a"].names("b") && !f.hosts["c"].names("b"), "settle time %v, phase %v", settle, phase)
+	assert.Assert(t, f.hosts["a"].names("c") && f.hosts["c"].names("a"), "settle time %v, phase %v", settle, phase)
+}
+
+// Guards against running hosts that drop out of the directory: in an outage of the store, since their renewals come too late after it, and
+// while their process is paused or cut off from the store.
+func TestDirectoryNamesRunningHosts(t *testing.T) {
+	type disruption func(f *registeredFleet)
+	down := func(o outage, lengths ...time.Duration) disruption {
+		return func(f *registeredFleet) {
+			for _, length := range lengths {
+				f.store.setOutage(&o)
+				time.Sleep(length)
+				f.store.setOutage(nil)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}
+	}
+	silent := func(id string, length time.Duration) disruption {
+		return func(f *registeredFleet) {
+			f.hosts[id].client.setSilent(true)
+			time.Sleep(length)
+			f.hosts[id].client.setSilent(false)
+		}
+	}
+	disruptions := map[string]disruption{
+		// Before, a lease was renewed 1.3 s after the last time at the latest, and ran for 4 s.
+		"a host is paused for 2.5 s":    silent("b", 2500*time.Millisecond),
+		"a directory is paused for 8 s": silent("a", 8*time.Second),
+	}
+	for name, o := range outages {
+		if o.lapse {
+			continue
+		}
+		disruptions["outage of 4.5 s, "+name] = down(o, 4500*time.Millisecond)
+		disruptions["three outages, "+name] = down(o, 2*time.Second, time.Second, 3*time.Second)
+	}
+	for name, disrupt := range disruptions {
+		t.Run(name, func(t *testing.T) {
+			for _, settle := range []time.Duration{3 * time.Second, 4 * time.Second} {
+				var missing time.Duration
+				for _, phase := range phases() {
+					synctest.Test(t, func(*testing.T) {
+						f := startFleet(settle, "a", "b", "c")
+						defer f.shutDown()
+						time.Sleep(phase)
+						go disrupt(f)
+						named := []string{"a", "b", "c"}
+						if name == "a directory is paused for 8 s" {
+							named = named[1:] // Only its own directory is of interest: its lease ends.
+						}
+						missing += f.unnamed(15*time.Second, named...)
+					})
+				}
+				assert.Equal(t, missing, time.Duration(0), "settle time %v: time in %d runs in which a running host was not named", settle, len(phases()))
+			}
+		})
+	}
+}
+
+// Guards against a host that leaves and stays named as if its lease had only not been renewed in time.
+func TestLeavingHostIsDroppedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(3*time.Second, "a", "b")
+		defer f.shutDown()
+		f.hosts["b"].member.Leave(t.Context())
+		time.Sleep(300 * time.Millisecond) // The pause of a watch after a change.
+		synctest.Wait()
+		assert.Assert(t, !f.hosts["a"].names("b"))
+	})
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -257,12 +257,14 @@
 		CalledFor:  n.placer.ReportsWorkFactor,
 		Metrics:    c.Metrics,
 	})
+	leaseTerm := join.LeaseTerm(s.StoreSettle())
 	n.follower = belief.New(belief.Config{
 		Catalog:         c.Catalog,
 		Host:            s.HostID,
 		LocalDataCentre: s.DataCentre,
 		History:         s.History(),
 		Regions:         s.Regions,
+		HostLeaseTerm:   leaseTerm,
 		Relay:           n.relayChanges,
 		Logger:          c.Logger,
 		Metrics:         c.Metrics,
@@ -296,6 +298,7 @@
 	n.member = join.New(join.Config{
 		Catalog: c.Catalog,
 		Host:    n.ownEntry,
+		Term:    leaseTerm,
 		Logger:  c.Logger,
 		Metrics: c.Metrics,
 	})
--- a/internal/edge/setup/setup.go
+++ b/internal/edge/setup/setup.go
@@ -22,6 +22,7 @@
 	MetricsListen       netip.AddrPort    `yaml:"metrics-listen"`
 	Store               netip.AddrPort    `yaml:"store"`
 	HistorySeconds      float64           `yaml:"store-history-s"` // Maximum time for which the store keeps changes.
+	StoreSettleSeconds  float64           `yaml:"store-settle-s"`  // From the end of an outage of the store until the directory names no host that ended before.
 	MemoryMB            int               `yaml:"memory-mb"`
 	LinkMbps            float64           `yaml:"link-mbps"`        // Bandwidth of the link in Mbit/s; 0 if it is unknown.
 	CPUShare            float64           `yaml:"cpu-share"`        // Share of the machine's cores that the process may use; 0 if it is unknown.
@@ -58,6 +59,9 @@
 // CPUCores returns the number of cores that the process may use, or 0 if it is unknown.
 func (s *Settings) CPUCores() float64 { return s.CPUShare * s.Cores }
 
+// defaultStoreSettleSeconds is the shortest time that a deployment has asked for so far.
+const defaultStoreSettleSeconds = 3
+
 // defaultFileDescriptors is several times what a host uses: standard streams, the settings file and those of the Go runtime.
 const defaultFileDescriptors = 32
 
@@ -73,6 +77,9 @@
 // Window returns the length of the time window over which quotas hold.
 func (s *Settings) Window() time.Duration { return seconds(s.QuotaWindowSeconds) }
 
+// StoreSettle returns the time after an outage of the store after which the directory must not name hosts that ended before.
+func (s *Settings) StoreSettle() time.Duration { return seconds(s.StoreSettleSeconds) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Load reads and validates a settings file. The error joins one error for each invalid field and names the file and the field.
@@ -87,13 +94,14 @@
 // Parse decodes and validates the text of a settings file. The name is used only in errors.
 func Parse(name string, text []byte) (Settings, error) {
 	settings := Settings{
-		FileDescriptors: defaultFileDescriptors,
-		LogLevel:        "info",
-		TargetSpeed:     steer.ModeOff,
-		Admission:       steer.ModeOff,
-		ObjectCopies:    steer.ModeOff,
-		DemandShares:    steer.ModeOff,
-		DirectoryHosts:  steer.ModeOff,
+		StoreSettleSeconds: defaultStoreSettleSeconds,
+		FileDescriptors:    defaultFileDescriptors,
+		LogLevel:           "info",
+		TargetSpeed:        steer.ModeOff,
+		Admission:          steer.ModeOff,
+		ObjectCopies:       steer.ModeOff,
+		DemandShares:       steer.ModeOff,
+		DirectoryHosts:     steer.ModeOff,
 	}
 	checker, err := config.Decode(name, text, &settings)
 	if err != nil {
@@ -150,6 +158,7 @@
 		{field: "directory-keep-s", value: s.DirectoryTTLSeconds, low: 0.1, high: 600},
 		{field: "retry-ratio", value: s.RetryRatio, low: 0, high: 1},
 		{field: "store-history-s", value: s.HistorySeconds, low: 0, high: 86400},
+		{field: "store-settle-s", value: s.StoreSettleSeconds, low: 1, high: 600},
 		{field: "retry-slack", value: s.RetrySlack, low: 0, high: 1e9},
 		{field: "quota-window-s", value: s.QuotaWindowSeconds, low: 0.1, high: 600},
 		{field: "quota-over", value: s.QuotaExcessRatio, low: 0, high: 10},
--- a/internal/edge/setup/setup_test.go
+++ b/internal/edge/setup/setup_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against leases of registrations that end too late after an outage, and against a host that does not start because its platform does
+// not tell the time.
+func TestStoreSettleTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                      3 * time.Second,
+		"store-settle-s: \n":    3 * time.Second,
+		"store-settle-s: 4\n":   4 * time.Second,
+		"store-settle-s: 2.5\n": 2500 * time.Millisecond,
+	} {
+		s, err := setup.Parse("settings.yaml", []byte(validSettings+text))
+		assert.NilError(t, err)
+		assert.Equal(t, s.StoreSettle(), want, text)
+	}
+	for _, value := range []string{"0", "-1", "1e9", ".nan", "long"} {
+		_, err := setup.Parse("settings.yaml", []byte(validSettings+"store-settle-s: "+value+"\n"))
+		assert.ErrorContains(t, err, "store-settle-s")
+	}
+}
+
 // Guards against invalid settings that are accepted, or rejected without naming the field.
 func TestInvalidSettingsNameTheField(t *testing.T) {
 	for _, line := range strings.Split(strings.TrimSpace(validSettings), "\n") {
--- a/platform.go
+++ b/platform.go
@@ -159,6 +159,7 @@
 	PeerAddress netip.AddrPort `json:"peer-address"`
 	LinkMbps    float64        `json:"link-mbps,omitempty"` // Bandwidth of its link in Mbit/s; 0 if it is unknown.
 	CPUCores    float64        `json:"cpu-cores,omitempty"` // Processor cores that it may use; 0 if that is unknown.
+	Leaving     bool           `json:"leaving,omitempty"`   // It is stopping, and the directory no longer names it.
 }
 
 // HostLoad is the load that a host reports to other hosts.
