Keep running hosts in the directory after an outage in which leases end

Seen: after an outage of the store in which leases run on ("leases either pause or expire"), each directory names only its own host until the others have registered again.

Cause: the removal of a host's registration took effect at once, also if its lease ended while no host could renew it. Targets were kept for such a time, hosts were not.

Evidence: join.TestDirectoryNamesRunningHosts, the four rows in which leases run.

Change: a registration that was removed around an outage is kept until a term after the outage, counted from the start of the last call that failed, of the watch or of the own registration: the outage lasted at least until then. While the platform does not answer, no host is dropped, since none can register again.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -161,6 +161,14 @@
 	close(*f.changed.Swap(&next))
 }
 
+// NoteFailedCall records that a call of another part of this host failed, and when it began. More frequent calls than those of the
+// follower tell more precisely when an outage ended.
+func (f *Follower) NoteFailedCall(startedAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.noteFailedCall(startedAt)
+}
+
 // ApplyRelayed applies changes that another host of the data centre received from the platform. If fromWatcher is set, the
 // other host watches on behalf of this one, and this host pauses its own watch for relayTTL and its stagger delay. Changes
 // from any other host pause it only after a call of this host failed. Changes that leave a gap after the last known position
@@ -356,7 +364,7 @@
 			}
 			listed = false
 		} else {
-			f.noteFailure(err)
+			f.noteFailure(now, err)
 		}
 		f.sleep(ctx, pause)
 		pause = min(2*pause, maxRetryDelay)
@@ -535,11 +543,12 @@
 }
 
 // noteFailure records a failed call. The platform is not marked unreachable while another host relays its changes.
-func (f *Follower) noteFailure(err error) {
+func (f *Follower) noteFailure(startedAt time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.lastFailure = now
+	f.table.noteFailedCall(startedAt)
 	if f.fallbackUntil.After(now) {
 		_ = level.Info(f.logger).Log("msg", "Call to the platform failed, using changes relayed by another host.", "err", err)
 		return
--- a/internal/edge/belief/belief_test.go
+++ b/internal/edge/belief/belief_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// Guards against a directory that drops a host which was paused for a moment, or names one that has left, or one that has been gone for
+// Guards against a directory that drops a host which was paused for a moment or whose lease ended during an outage, or names one that has left, or one that has been gone for
 // longer than its lease because the lease stood still during an outage.
 func TestHostRemoval(t *testing.T) {
 	const leaseTerm = 2500 * time.Millisecond
@@ -123,6 +123,46 @@
 			run:  func(t belief.Table) { t.Apply(at(10), removedFact("hosts/own", 10)) },
 			want: []string{"a", "b"},
 		},
+		{
+			name: "lease that ended during an outage",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(2))
+				t.MarkUnreachable(at(4))
+				t.NoteFailedCall(at(7))
+				t.MarkReachable(at(8))
+				t.Apply(at(8), removedFact("hosts/a", 10))
+				t.Expire(at(9.4))
+			},
+			want: []string{"a", "b", "own"},
+		},
+		{
+			name: "lease that ended during an outage, host not back a term after the last failed call",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(2))
+				t.MarkUnreachable(at(4))
+				t.NoteFailedCall(at(7))
+				t.MarkReachable(at(8))
+				t.Apply(at(8), removedFact("hosts/a", 10))
+				t.Expire(at(9.5))
+			},
+			want: []string{"b", "own"},
+		},
+		{
+			name: "lease that ended before another outage in which no host can be back",
+			run: func(t belief.Table) {
+				t.MarkReachable(at(2))
+				t.MarkUnreachable(at(4))
+				t.NoteFailedCall(at(5))
+				t.MarkReachable(at(5.5))
+				t.Apply(at(5.5), removedFact("hosts/a", 10))
+				t.MarkUnreachable(at(6))
+				t.Expire(at(9))
+				t.NoteFailedCall(at(9))
+				t.MarkReachable(at(9.5))
+				t.Expire(at(11.4))
+			},
+			want: []string{"a", "b", "own"},
+		},
 		{
 			name: "lease that stood still during an outage",
 			run: func(t belief.Table) {
--- a/internal/edge/belief/export_test.go
+++ b/internal/edge/belief/export_test.go
@@ -44,6 +44,9 @@
 // MarkUnreachable records a failed call.
 func (t Table) MarkUnreachable(now time.Time) { t.t.markUnreachable(now) }
 
+// NoteFailedCall records the start of a failed call.
+func (t Table) NoteFailedCall(startedAt time.Time) { t.t.noteFailedCall(startedAt) }
+
 // ApplyHint applies a hint of another host.
 func (t Table) ApplyHint(now time.Time, hint Hint) { t.t.applyHint(now, hint) }
 
--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -57,7 +57,9 @@
 	lostAt             time.Time // When the platform became unreachable; used only until it is reachable again.
 	peerReachableSince time.Time // Since when another host has reached it during an outage; zero for none.
 	regainedAt         time.Time // When the last outage ended, as first seen by this host or another.
+	lastFailedCall     time.Time // Start of the last call of this host that failed.
 	answeredAgainAt    time.Time // When the platform last answered after an outage or a gap in which leases may have stood still.
+	downUntil          time.Time // Until when, at least, the platform was down before answeredAgainAt.
 	restoredAt         time.Time // When this host learned that the store had returned from an older copy.
 	reachable          bool
 	lastContact        time.Time
@@ -235,12 +237,16 @@
 	}
 }
 
-// keepHostUntil returns until when a host stays known whose registration was removed. It returns zero for a host that has left, for this
-// host, and after an outage: a host whose lease ended has been silent for the term of the lease, and for longer if the lease stood still.
+// keepHostUntil returns until when a host stays known whose registration was removed; zero for a host that has left, and for this host,
+// which must learn at once that it has to register again. A host whose lease ended has been silent for the term of the lease, and for
+// longer if the lease stood still during an outage. After an outage, hosts are therefore kept only for the term from its end, in which
+// running ones register again. Leases that stood still end by then too.
 func (t *table) keepHostUntil(now time.Time, h *steer.HostEntry) time.Time {
 	switch {
-	case h.Leaving || h.ID == t.host || t.hostLeaseTerm == 0 || now.Sub(t.answeredAgainAt) < t.hostLeaseTerm+lapseWindow:
+	case h.Leaving || h.ID == t.host || t.hostLeaseTerm == 0:
 		return time.Time{}
+	case now.Sub(t.answeredAgainAt) < t.hostLeaseTerm+lapseWindow:
+		return t.downUntil.Add(t.hostLeaseTerm)
 	default:
 		return now.Add(silentHostRetention - t.hostLeaseTerm)
 	}
@@ -256,6 +262,9 @@
 		}
 	}
 	for key, at := range t.lapseDeadlines {
+		if t.facts[key].Host != nil && !t.reachable {
+			continue // No running host can register again now; endOutage sets another deadline.
+		}
 		if !at.After(now) {
 			delete(t.lapseDeadlines, key)
 			delete(t.facts, key)
@@ -272,7 +281,7 @@
 // markReachable records a successful call, and reports whether the platform was not reachable before.
 func (t *table) markReachable(now time.Time) bool {
 	if t.listed && (!t.reachable || now.Sub(t.lastContact) > maxContactGap) {
-		t.answeredAgainAt = now
+		t.endOutage(now)
 	}
 	t.lastContact = now
 	if t.reachable {
@@ -290,6 +299,27 @@
 	return true
 }
 
+// endOutage records that the platform answers again, and keeps hosts whose leases ended for as long as keepHostUntil says.
+func (t *table) endOutage(now time.Time) {
+	t.answeredAgainAt = now
+	t.downUntil = t.lastContact
+	if t.lastFailedCall.After(t.downUntil) {
+		t.downUntil = t.lastFailedCall
+	}
+	for key, until := range t.lapseDeadlines {
+		if h := t.facts[key].Host; h != nil && until.Before(t.downUntil.Add(t.hostLeaseTerm)) {
+			t.lapseDeadlines[key] = t.downUntil.Add(t.hostLeaseTerm)
+		}
+	}
+}
+
+// noteFailedCall records the start of a failed call. The platform was down or not reachable at that time.
+func (t *table) noteFailedCall(startedAt time.Time) {
+	if startedAt.After(t.lastFailedCall) {
+		t.lastFailedCall = startedAt
+	}
+}
+
 // markUnreachable records a failed call, and reports whether the platform was reachable before.
 func (t *table) markUnreachable(now time.Time) bool {
 	if !t.reachable {
--- a/internal/edge/join/join.go
+++ b/internal/edge/join/join.go
@@ -52,9 +52,10 @@
 type Config struct {
 	Catalog steer.Catalog
 	Host    steer.HostEntry
-	Term    time.Duration    // Of the lease, as LeaseTerm returns it. 0 selects the longest.
-	Logger  log.Logger       // Nil means no logging.
-	Metrics metrics.Registry // Nil means a private registry.
+	Term    time.Duration             // Of the lease, as LeaseTerm returns it. 0 selects the longest.
+	Failed  func(startedAt time.Time) // Called after a failed step, with the time at which it began. Optional.
+	Logger  log.Logger                // Nil means no logging.
+	Metrics metrics.Registry          // Nil means a private registry.
 }
 
 // Member keeps a host registered until Leave.
@@ -75,6 +76,9 @@
 	if c.Term == 0 {
 		c.Term = maxLeaseTerm
 	}
+	if c.Failed == nil {
+		c.Failed = func(time.Time) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Member{
 		config: c,
@@ -128,6 +132,7 @@
 		m.guard.Do("registration", func() { err = m.renewOrRegister(ctx) })
 		took := time.Since(startedAt)
 		if err != nil && ctx.Err() == nil {
+			m.config.Failed(startedAt)
 			wait = max(delay, took+minRetryDelay)
 			delay = min(2*delay, maxRetryDelay)
 			_ = level.Warn(m.logger).Log("msg", "Registration failed.", "lease", m.lease.ID, "err", err)
--- a/internal/edge/join/named_test.go
+++ b/internal/edge/join/named_test.go
@@ -303,7 +303,8 @@
 			Host: steer.HostEntry{
 				ID: id,
 			},
-			Term: join.LeaseTerm(settle),
+			Term:   join.LeaseTerm(settle),
+			Failed: h.follower.NoteFailedCall,
 		})
 		f.hosts[id] = h
 		time.Sleep(time.Duration(i+1) * 170 * time.Millisecond) // Hosts renew their leases at different moments.
@@ -395,8 +396,8 @@
 	assert.Assert(t, f.hosts["a"].names("c") && f.hosts["c"].names("a"), "settle time %v, phase %v", settle, phase)
 }
 
-// Guards against running hosts that drop out of the directory: in an outage of the store, since their renewals come too late after it, and
-// while their process is paused or cut off from the store.
+// Guards against running hosts that drop out of the directory: in an outage of the store, since their leases end during it or their renewals
+// come too late after it, and while their process is paused or cut off from the store.
 func TestDirectoryNamesRunningHosts(t *testing.T) {
 	type disruption func(f *registeredFleet)
 	down := func(o outage, lengths ...time.Duration) disruption {
@@ -422,9 +423,6 @@
 		"a directory is paused for 8 s": silent("a", 8*time.Second),
 	}
 	for name, o := range outages {
-		if o.lapse {
-			continue
-		}
 		disruptions["outage of 4.5 s, "+name] = down(o, 4500*time.Millisecond)
 		disruptions["three outages, "+name] = down(o, 2*time.Second, time.Second, 3*time.Second)
 	}
