Log whether a removed registration is still used and whether a host leaves

Cause: since registrations are kept for some time after their removal, "Entry removed." no longer tells whether the directory names the host.

Change: the line has a field kept, and "Host changed." has a field leaving. A kept entry that is dropped later gets "Removed entry is no longer used." as before.

--- a/internal/edge/belief/belief.go
+++ b/internal/edge/belief/belief.go
@@ -559,17 +559,19 @@
 	f.publish()
 }
 
-// logChange logs a removed entry, or a change of a target, a host or an emptied data centre.
+// logChange logs a removed entry, or a change of a target, a host or an emptied data centre, once it has been applied. The caller
+// holds mu.
 func (f *Follower) logChange(fact steer.Fact) {
 	switch {
 	case fact.Removed:
-		_ = level.Info(f.logger).Log("msg", "Entry removed.", "key", fact.Key, "revision", fact.Revision)
+		_, kept := f.table.facts[fact.Key]
+		_ = level.Info(f.logger).Log("msg", "Entry removed.", "key", fact.Key, "revision", fact.Revision, "kept", kept)
 	case fact.Endpoint != nil:
 		e := fact.Endpoint
 		_ = level.Info(f.logger).Log("msg", "Target changed.", "target", e.ID, "service", e.Service, "draining", e.Draining,
 			"warmup-left", e.WarmupLeft, "address", e.Address, "revision", fact.Revision)
 	case fact.Host != nil:
-		_ = level.Info(f.logger).Log("msg", "Host changed.", "host", fact.Host.ID, "incarnation", fact.Host.Incarnation,
+		_ = level.Info(f.logger).Log("msg", "Host changed.", "host", fact.Host.ID, "incarnation", fact.Host.Incarnation, "leaving", fact.Host.Leaving,
 			"revision", fact.Revision)
 	case fact.Rejected != 0:
 		_ = level.Info(f.logger).Log("msg", "Request is rejected by all hosts.", "request-key", fmt.Sprintf("%016x", fact.Rejected),
