--- a/internal/edge/belief/table.go
+++ b/internal/edge/belief/table.go
@@ -30,7 +30,7 @@
 	silentHostRetention = 4 * time.Second
 
 	// maxContactGap is the longest time between two answers of the platform without an outage: that of a watch, and some more if the
-	// platform is slow. A shorter outage lets no host stay known for longer than the directory may name it.
+	// platform is slow. A shorter outage, which delays the end of a lease by less, lets no host stay known for longer than contact-s + 3 s.
 	maxContactGap = 2 * time.Second
 )
 
