Keep new connections until their first request may have arrived

What callers saw: connections are at their limit and all others are in use. A caller that connects gets the end of the connection or a reset for an answer to its first request, and can't tell whether it ran.

Cause: an accepted connection counts as idle until the first byte of its request is read. It makes room for the next connection, or, beyond the limit, for the next call of accept, even while no connection waits.

Evidence: TestNewConnectionIsNotClosedBeforeItsFirstRequest failed in both rows before, with an unexpected end. A trial build printed each closed connection: the new one, 0.4 to 14 ms old, without a request.

Change: a connection without a request is kept for 300 ms, a round trip between regions and a segment that is sent again.

--- a/internal/edge/conns/conns.go
+++ b/internal/edge/conns/conns.go
@@ -32,6 +32,10 @@
 	// descriptor left although the limit is not reached.
 	exhaustedFraction = 0.0625
 
+	// firstRequestTimeout is the time after which a connection without a request may be closed to make room: a round trip between
+	// regions, and a segment that is sent again after 200 ms.
+	firstRequestTimeout = 300 * time.Millisecond
+
 	// logInterval is the shortest time between two log lines on closed connections.
 	logInterval = time.Second
 )
@@ -110,6 +114,7 @@
 	budget      *Budget
 	closeUnused func() bool
 	element     *list.Element // In the list of idle connections; nil while it is in use.
+	keepUntil   time.Time     // It is not closed before. Zero unless it waits for its first request.
 	removed     bool
 }
 
@@ -163,16 +168,10 @@
 func (b *Budget) closeIdle(count int, reason string) int {
 	closed := 0
 	for closed < count {
-		b.mu.Lock()
-		front := b.idle.Front()
-		if front == nil {
-			b.mu.Unlock()
+		c := b.takeIdle(time.Now())
+		if c == nil {
 			break
 		}
-		c := front.Value.(*Conn)
-		b.idle.Remove(front)
-		c.element = nil
-		b.mu.Unlock()
 		if c.closeUnused() { // Without the lock: it takes the lock of the connection, under which SetIdle is called.
 			c.Remove()
 			closed++
@@ -197,14 +196,41 @@
 	return closed
 }
 
+// takeIdle removes the connection that has been idle for longest from the list of idle ones and returns it, or nil if none may be
+// closed.
+func (b *Budget) takeIdle(now time.Time) *Conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for e := b.idle.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if now.Before(c.keepUntil) {
+			continue
+		}
+		c.unlist()
+		return c
+	}
+	return nil
+}
+
+// SetNew records that the connection waits for its first request. It counts as idle, but is not closed within
+// firstRequestTimeout, as its request may be on the way: the caller, which has been accepted, would get a reset for an answer.
+func (c *Conn) SetNew() { c.setIdle(firstRequestTimeout) }
+
 // SetIdle records that the connection is not in use. Its place in the order of idle connections is that of the first such call.
-func (c *Conn) SetIdle() {
+func (c *Conn) SetIdle() { c.setIdle(0) }
+
+func (c *Conn) setIdle(keep time.Duration) {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.element == nil && !c.removed {
-		c.element = b.idle.PushBack(c)
+	if c.element != nil || c.removed {
+		return
+	}
+	c.keepUntil = time.Time{}
+	if keep > 0 {
+		c.keepUntil = time.Now().Add(keep)
 	}
+	c.element = b.idle.PushBack(c)
 }
 
 // SetUsed records that the connection is in use.
--- a/internal/edge/conns/conns_test.go
+++ b/internal/edge/conns/conns_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -82,6 +83,47 @@
 	assert.Assert(t, !within)
 }
 
+// Guards against closing a new connection whose first request is on the way, and against keeping ones that never send any.
+func TestNewConnectionIsKeptForItsFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget()
+		var first func() bool
+		for i := range 14 {
+			c, _, wasClosed := add(b, true)
+			c.SetNew()
+			if i == 0 {
+				first = wasClosed
+			}
+		}
+		time.Sleep(299 * time.Millisecond)
+		_, within, _ := add(b, true)
+		assert.Assert(t, !within, "all others may have a request on the way")
+		assert.Assert(t, !first())
+		time.Sleep(time.Millisecond)
+		_, within, _ = add(b, true)
+		assert.Assert(t, within)
+		assert.Assert(t, first())
+	})
+}
+
+// Guards against a connection that is kept as a new one after its first request, while a new caller waits.
+func TestConnectionIsNotNewAfterItsFirstRequest(t *testing.T) {
+	b := newBudget()
+	var first func() bool
+	for i := range 14 {
+		c, _, wasClosed := add(b, true)
+		c.SetNew()
+		if i == 0 {
+			c.SetUsed()
+			c.SetIdle()
+			first = wasClosed
+		}
+	}
+	_, within, _ := add(b, true)
+	assert.Assert(t, within)
+	assert.Assert(t, first())
+}
+
 // Guards against a connection that is counted as closed although it has come into use again.
 func TestConnectionInUseAgainIsNotClosed(t *testing.T) {
 	b := newBudget()
--- a/internal/edge/conns/listen.go
+++ b/internal/edge/conns/listen.go
@@ -104,7 +104,7 @@
 		if state == http.StateNew {
 			c, _ := b.Add(func() bool { return socket.Close() == nil })
 			counted.Store(socket, c)
-			c.SetIdle()
+			c.SetNew()
 			return
 		}
 		value, ok := counted.Load(socket)
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -41,6 +41,7 @@
 	writing bool        // A goroutine is writing responses.
 	closing bool        // The connection closes after the responses in the queue, or is closed.
 	idle    bool        // The reader waits for the first byte of a request.
+	used    bool        // A request has begun to arrive.
 	waiting bool        // The reader has a request that waits for room in the queue.
 	aborted bool        // No further responses are written.
 }
@@ -201,15 +202,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle
+	c.used = c.used || !idle
 	c.updateCounted()
 }
 
 // updateCounted tells the budget whether the connection is unused. Its caller holds mu.
 func (c *conn) updateCounted() {
-	if c.unused() {
-		c.counted.SetIdle()
-	} else {
+	switch {
+	case !c.unused():
 		c.counted.SetUsed()
+	case c.used:
+		c.counted.SetIdle()
+	default:
+		c.counted.SetNew()
 	}
 }
 
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -356,38 +356,53 @@
 	}
 }
 
-// Guards against new callers that wait while others keep idle connections, and against closing connections that are in use.
-func TestIdleConnectionsMakeRoomForNewCallers(t *testing.T) {
-	const limit = 7 // Of 8 descriptors, one eighth is reserved.
-	release := make(chan struct{})
-	_, address := startServerWithBudget(t, func(ctx context.Context, r *front.Request) front.Response {
+const (
+	slowRequest  = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+	quickRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+)
+
+// startLimitedServer starts a server whose connections are limited. It answers slowRequest only after release, and says in a
+// header of each response whether the connection is beyond the limit.
+func startLimitedServer(t *testing.T, limit int) (address string, release func()) {
+	released := make(chan struct{})
+	_, address = startServerWithBudget(t, func(ctx context.Context, r *front.Request) front.Response {
 		if r.Target == "/slow" {
-			<-release
+			<-released
 		}
 		response := echo(ctx, r)
 		response.Header.Set("Excess", fmt.Sprint(r.ExcessConn))
 		return response
 	}, conns.New(conns.Config{
-		Descriptors: limit + 1,
+		Descriptors: limit + 1, // One eighth is reserved.
 	}))
-	const slowRequest = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
-	send := func(c net.Conn, request string) {
-		_, err := io.WriteString(c, request)
-		assert.NilError(t, err)
-	}
-	check := func(r *bufio.Reader, excess bool) {
-		t.Helper()
-		_, _, response := readResponse(t, r)
-		assert.Equal(t, response.Header.Get("Excess"), fmt.Sprint(excess))
-		assert.Equal(t, response.Close, excess)
-	}
+	return address, func() { close(released) }
+}
+
+func send(t *testing.T, c net.Conn, request string) {
+	t.Helper()
+	_, err := io.WriteString(c, request)
+	assert.NilError(t, err)
+}
+
+// checkExcess reads a response and checks whether its connection is beyond the limit, which closes it.
+func checkExcess(t *testing.T, r *bufio.Reader, excess bool) {
+	t.Helper()
+	_, _, response := readResponse(t, r)
+	assert.Equal(t, response.Header.Get("Excess"), fmt.Sprint(excess))
+	assert.Equal(t, response.Close, excess)
+}
+
+// Guards against new callers that wait while others keep idle connections, and against closing connections that are in use.
+func TestIdleConnectionsMakeRoomForNewCallers(t *testing.T) {
+	const limit = 7
+	address, release := startLimitedServer(t, limit)
 	slow, slowReader := dial(t, address)
-	send(slow, slowRequest)
+	send(t, slow, slowRequest)
 	var idle []*bufio.Reader
 	for range 2 * limit {
 		c, r := dial(t, address)
-		send(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		check(r, false)
+		send(t, c, quickRequest)
+		checkExcess(t, r, false)
 		idle = append(idle, r)
 	}
 	for _, r := range idle[:limit+1] { // The slow connection and the last limit-1 stay open.
@@ -397,16 +412,45 @@
 	readers := []*bufio.Reader{slowReader}
 	for range limit - 1 {
 		c, r := dial(t, address)
-		send(c, slowRequest)
+		send(t, c, slowRequest)
 		readers = append(readers, r)
 	}
 	time.Sleep(100 * time.Millisecond) // Until the requests are in progress.
 	c, r := dial(t, address)
-	send(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	check(r, true)
-	close(release)
+	send(t, c, quickRequest)
+	checkExcess(t, r, true)
+	release()
 	for _, r := range readers {
-		check(r, false)
+		checkExcess(t, r, false)
+	}
+}
+
+// Guards against a new connection that is closed before its request is read, because others wait to be accepted.
+func TestNewConnectionIsNotClosedBeforeItsFirstRequest(t *testing.T) {
+	const limit = 7
+	for _, c := range []struct {
+		name  string
+		inUse int
+	}{
+		{name: "the next one is beyond the limit", inUse: limit - 1},
+		{name: "the next one is beyond the maximum", inUse: limit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, release := startLimitedServer(t, limit)
+			defer release()
+			for range c.inUse {
+				socket, _ := dial(t, address)
+				send(t, socket, slowRequest)
+			}
+			time.Sleep(50 * time.Millisecond) // Until the requests are in progress.
+			first, firstReader := dial(t, address)
+			second, secondReader := dial(t, address)
+			time.Sleep(100 * time.Millisecond) // Until both are accepted, if they may be.
+			send(t, first, quickRequest)
+			checkExcess(t, firstReader, c.inUse == limit)
+			send(t, second, quickRequest)
+			checkExcess(t, secondReader, true)
+		})
 	}
 }
 
