Wait in the test of idle connections until they are counted as idle

Cause: the test took a connection for idle as soon as it had read the response. The server writes a response first and then counts the connection as idle: 0.1 to 0.5 ms after the refusal in three traced failures.

Change: the gauge conns-idle counts idle connections, and the test waits for it. Its checks are the same.

--- a/internal/edge/conns/conns.go
+++ b/internal/edge/conns/conns.go
@@ -56,6 +56,7 @@
 	maximum int // Connections above which none is accepted.
 
 	openConns     metrics.Gauge
+	idleConns     metrics.Gauge
 	closedIdle    metrics.Counter
 	excess        metrics.Counter
 	failedAccepts metrics.Counter
@@ -78,6 +79,7 @@
 		logger: log.With(c.Logger, "part", "conns"),
 
 		openConns:     metrics.GetOrRegisterGauge("conns-open", c.Metrics),
+		idleConns:     metrics.GetOrRegisterGauge("conns-idle", c.Metrics),
 		closedIdle:    metrics.GetOrRegisterCounter("conns-closed-idle", c.Metrics),
 		excess:        metrics.GetOrRegisterCounter("conns-excess", c.Metrics),
 		failedAccepts: metrics.GetOrRegisterCounter("conns-accept-failures", c.Metrics),
@@ -231,6 +233,7 @@
 		c.keepUntil = time.Now().Add(keep)
 	}
 	c.element = b.idle.PushBack(c)
+	b.idleConns.Update(int64(b.idle.Len()))
 }
 
 // SetUsed records that the connection is in use.
@@ -258,6 +261,7 @@
 func (c *Conn) unlist() {
 	if c.element != nil {
 		c.budget.idle.Remove(c.element)
+		c.budget.idleConns.Update(int64(c.budget.idle.Len()))
 		c.element = nil
 	}
 }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -15,7 +15,9 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/conns"
@@ -363,7 +365,7 @@
 
 // startLimitedServer starts a server whose connections are limited. It answers slowRequest only after release, and says in a
 // header of each response whether the connection is beyond the limit.
-func startLimitedServer(t *testing.T, limit int) (address string, release func()) {
+func startLimitedServer(t *testing.T, limit int, registry metrics.Registry) (address string, release func()) {
 	released := make(chan struct{})
 	_, address = startServerWithBudget(t, func(ctx context.Context, r *front.Request) front.Response {
 		if r.Target == "/slow" {
@@ -374,6 +376,7 @@
 		return response
 	}, conns.New(conns.Config{
 		Descriptors: limit + 1, // One eighth is reserved.
+		Metrics:     registry,
 	}))
 	return address, func() { close(released) }
 }
@@ -395,15 +398,24 @@
 // Guards against new callers that wait while others keep idle connections, and against closing connections that are in use.
 func TestIdleConnectionsMakeRoomForNewCallers(t *testing.T) {
 	const limit = 7
-	address, release := startLimitedServer(t, limit)
+	registry := metrics.NewRegistry()
+	address, release := startLimitedServer(t, limit, registry)
 	slow, slowReader := dial(t, address)
 	send(t, slow, slowRequest)
 	var idle []*bufio.Reader
-	for range 2 * limit {
+	for i := range 2 * limit {
 		c, r := dial(t, address)
 		send(t, c, quickRequest)
 		checkExcess(t, r, false)
 		idle = append(idle, r)
+		// The server writes a response before it counts the connection as idle.
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			count := metrics.GetOrRegisterGauge("conns-idle", registry).Value()
+			if count == int64(min(i+1, limit-1)) {
+				return poll.Success()
+			}
+			return poll.Continue("%d connections are idle", count)
+		}, poll.WithDelay(100*time.Microsecond))
 	}
 	for _, r := range idle[:limit+1] { // The slow connection and the last limit-1 stay open.
 		_, err := r.ReadByte()
@@ -436,7 +448,7 @@
 		{name: "the next one is beyond the maximum", inUse: limit},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			address, release := startLimitedServer(t, limit)
+			address, release := startLimitedServer(t, limit, nil)
 			defer release()
 			for range c.inUse {
 				socket, _ := dial(t, address)
