Send interim responses only after earlier responses

In one of 62 responses of 540 KB, "HTTP/1.1 100 Continue" stood inside the body, with status 200, the signature and the whole length. If the earlier request was in progress, the interim response came before its response.

Cause: the goroutine that reads requests wrote the interim response at once, while another one wrote earlier responses in steps of 128 KB.

Change: the reader waits until earlier responses are written. Nothing is written then, as requests are read one after the other. The memory for the body is taken after the wait, and the caller's time for sending it begins there.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/meter"
@@ -69,11 +70,17 @@
 	if size < 0 {
 		size = maxBytes + 1 // One byte more tells whether the body is larger.
 	}
+	expected := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	if expected {
+		if err := c.awaitResponses(); err != nil {
+			return err
+		}
+	}
 	if err := b.grow(min(size, firstBodyBytes)); err != nil {
 		return err
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+	if expected {
+		if err := c.sendContinue(limits); err != nil {
 			return err
 		}
 	}
@@ -86,6 +93,17 @@
 	return nil
 }
 
+// sendContinue tells the caller to send the body. No response may be in progress.
+func (c *conn) sendContinue(limits steer.RequestLimits) error {
+	// The time for which earlier responses were awaited is not the caller's.
+	if err := c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		return err
+	}
+	n, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n")
+	c.server.config.Traffic.AddSent(int64(n))
+	return err
+}
+
 // read reads the body until its end or until it has the given size.
 func (b *requestBody) read(r *http.Request, size int64) error {
 	for {
--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -238,6 +238,20 @@
 	return len(c.queue) > 0
 }
 
+// awaitResponses waits until the responses to all earlier requests are written, and returns an error if the connection closes.
+func (c *conn) awaitResponses() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) > 0 && !c.closing {
+		c.late = true
+		c.notFull.Wait()
+	}
+	if c.closing {
+		return net.ErrClosed
+	}
+	return nil
+}
+
 // statusError reports a request that cannot be read, and the status that is sent before the connection closes.
 type statusError struct {
 	status int
--- /dev/null
+++ b/internal/edge/front/continue_test.go
@@ -0,0 +1,67 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonhub.example/steer/internal/edge/front"
+)
+
+const (
+	expectHead = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n"
+	interim    = "HTTP/1.1 100 Continue\r\n\r\n"
+)
+
+// Guards against an interim response inside the body of an earlier response, or before an earlier response.
+func TestInterimResponseComesAfterEarlierResponses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		delay  time.Duration // Of the handler.
+		size   int           // Of the body of the first response. Large ones are written in steps of 128 KB.
+		rounds int
+	}{
+		{name: "the earlier request is in progress", delay: 100 * time.Millisecond, size: 10, rounds: 1},
+		{name: "the earlier response is being written", size: 1 << 20, rounds: 300}, // Before the fix, one of the first 20 to 100 was changed.
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			body := bytes.Repeat([]byte("x"), c.size)
+			_, address := startServer(t, func(ctx context.Context, r *front.Request) front.Response {
+				if r.Target != "/first" {
+					return echo(ctx, r)
+				}
+				time.Sleep(c.delay)
+				return front.Response{
+					Status: http.StatusOK,
+					Body:   body,
+				}
+			})
+			socket, r := dial(t, address)
+			line := make([]byte, len(interim))
+			for range c.rounds {
+				send(t, socket, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+				if c.delay == 0 {
+					_, err := r.Peek(1) // The response has begun.
+					assert.NilError(t, err)
+				}
+				send(t, socket, expectHead)
+				_, got, _ := readResponse(t, r)
+				assert.Equal(t, len(got), c.size)
+				assert.Assert(t, got == string(body), "the body of the first response was changed")
+				_, err := io.ReadFull(r, line)
+				assert.NilError(t, err)
+				assert.Equal(t, string(line), interim)
+				send(t, socket, "hello")
+				_, got, _ = readResponse(t, r)
+				assert.Assert(t, strings.Contains(got, "hello"), got)
+			}
+		})
+	}
+}
