Give interim responses their own time for writing

What callers saw: a caller that sends a request with "Expect: 100-continue" on a connection whose last response was written more than 10 s before gets the end of the connection.

Cause: an interim response was written under the deadline of the response before it, which had passed.

Evidence: TestInterimResponseHasItsOwnTimeForWriting failed before, with the end of the connection.

Change: the deadline for writing is set for interim responses too. Result: the test passes.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -95,8 +95,12 @@
 
 // sendContinue tells the caller to send the body. No response may be in progress.
 func (c *conn) sendContinue(limits steer.RequestLimits) error {
+	now := time.Now()
+	if err := c.socket.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		return err
+	}
 	// The time for which earlier responses were awaited is not the caller's.
-	if err := c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	if err := c.socket.SetReadDeadline(now.Add(limits.HeaderTimeout)); err != nil {
 		return err
 	}
 	n, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n")
--- a/internal/edge/front/continue_test.go
+++ b/internal/edge/front/continue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"monsoonhub.example/steer"
 	"monsoonhub.example/steer/internal/edge/front"
 )
 
@@ -65,3 +67,33 @@
 		})
 	}
 }
+
+// Guards against a connection that is closed instead of an interim response, because the time for writing the earlier one is over.
+func TestInterimResponseHasItsOwnTimeForWriting(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := front.New(front.Config{
+		Listener: listener,
+		Handler:  echo,
+		Limits:   func() steer.RequestLimits { return steer.RequestLimits{} },
+	})
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.Check(t, s.Close(ctx))
+	})
+	socket, r := dial(t, listener.Addr().String())
+	send(t, socket, quickRequest)
+	readResponse(t, r)
+	time.Sleep(10*time.Second + 100*time.Millisecond) // Longer than the server may take to write a response.
+	assert.NilError(t, socket.SetDeadline(time.Now().Add(5*time.Second)))
+	send(t, socket, expectHead)
+	line := make([]byte, len(interim))
+	_, err = io.ReadFull(r, line)
+	assert.NilError(t, err)
+	assert.Equal(t, string(line), interim)
+	send(t, socket, "hello")
+	_, got, _ := readResponse(t, r)
+	assert.Assert(t, strings.Contains(got, "hello"), got)
+}
