Reject a body that ends in another answer when the connection ends

Cause: a body that may hold the beginning of another answer was rejected only if more bytes followed. The end of the connection counted for the answer, though a target that keeps connections has no reason to end one there.

In the longer ones a header shows the other answer, which was recognised.

Change: such a body is also rejected if the connection ends within the 5 ms for which further bytes are awaited, unless the answer announced that.

Left: a connection that ends later than 5 ms after the body, and bodies that are filled up by bytes that look like no answer. A body that ends in "H" or a longer beginning of a status line is rejected if its target ends the connection right behind it without announcing it.

--- a/internal/edge/answer/answer.go
+++ b/internal/edge/answer/answer.go
@@ -96,15 +96,23 @@
 	maxHeads = 64
 )
 
+// Following is what came after the body of an answer.
+type Following struct {
+	Bytes  []byte
+	Closed bool // The server closed the connection after the bytes, although its answer does not say so.
+}
+
 // CheckBody returns ErrNotOne if a body may be part of several answers: another answer begins in it, or the bytes that followed
 // it do not begin a new answer. A text about HTTP is told from an answer by its lack of headers with the given names, of which
-// every answer has some, and by its end.
-func CheckBody(body, rest []byte, names ...string) error {
+// every answer has some, and by its end: if it may be the beginning of an answer, the connection must stay open without further
+// bytes.
+func CheckBody(body []byte, following Following, names ...string) error {
+	rest := following.Bytes
 	if len(rest) > 0 && !beginsAlike(rest, versionPrefix) {
 		return fmt.Errorf("%w: bytes after its body begin no other one", ErrNotOne)
 	}
 	found := findHead(body, rest, names)
-	if found == headOfAnswer || found == headDoubtful && len(rest) > 0 {
+	if found == headOfAnswer || found == headDoubtful && (len(rest) > 0 || following.Closed) {
 		return fmt.Errorf("%w: another one begins in its body", ErrNotOne)
 	}
 	return nil
--- a/internal/edge/answer/answer_test.go
+++ b/internal/edge/answer/answer_test.go
@@ -16,11 +16,13 @@
 // Guards against a body that keeps a host busy, or takes memory that is not reserved for it, because it looks like many answers.
 func TestBodyOfManyHeadsCostsLittle(t *testing.T) {
 	const size = 4 << 20
-	rest := []byte("HTTP/1.1 200 OK\r\n")
+	following := answer.Following{
+		Bytes: []byte("HTTP/1.1 200 OK\r\n"),
+	}
 	for _, piece := range []string{"HTTP/1.1 200 a\r\nX: ", "HTTP/1.", "HTTP/1.1 200 OK\r\n\r\n", "H"} {
 		body := bytes.Repeat([]byte(piece), size/len(piece))
 		begun := time.Now()
-		allocated := testing.AllocsPerRun(1, func() { _ = answer.CheckBody(body, rest, "Id") })
+		allocated := testing.AllocsPerRun(1, func() { _ = answer.CheckBody(body, following, "Id") })
 		t.Logf("%q: %v, %v allocations", piece, time.Since(begun)/2, allocated)
 		assert.Assert(t, time.Since(begun) < 2*time.Second, piece)
 	}
@@ -32,11 +34,11 @@
 	for _, size := range []int{100, 4 << 10, 5 << 10, 100 << 10} {
 		filler := strings.Repeat("x", size)
 		for cut := 1; cut <= len(late); cut++ {
-			assert.Assert(t, answer.CheckBody([]byte(filler+late[:cut]), []byte(late[cut:]+"more"), "Id") != nil, "%d, %q", size, late[:cut])
-			assert.Assert(t, answer.CheckBody([]byte(late[:cut]+filler), nil, "Id") == nil || cut > strings.Index(late, "Id:"), "%q", late[:cut])
+			assert.Assert(t, answer.CheckBody([]byte(filler+late[:cut]), answer.Following{Bytes: []byte(late[cut:] + "more")}, "Id") != nil, "%d, %q", size, late[:cut])
+			assert.Assert(t, answer.CheckBody([]byte(late[:cut]+filler), answer.Following{}, "Id") == nil || cut > strings.Index(late, "Id:"), "%q", late[:cut])
 		}
-		assert.Assert(t, answer.CheckBody([]byte(filler+late+filler), nil, "Id") != nil)
-		assert.NilError(t, answer.CheckBody([]byte(filler), []byte(late), "Id"))
+		assert.Assert(t, answer.CheckBody([]byte(filler+late+filler), answer.Following{}, "Id") != nil)
+		assert.NilError(t, answer.CheckBody([]byte(filler), answer.Following{Bytes: []byte(late)}, "Id"))
 	}
 }
 
@@ -58,6 +60,6 @@
 			Header:     http.Header{"X": {"a" + line}},
 		}
 		assert.ErrorIs(t, answer.CheckHead(&head), answer.ErrNotOne, line)
-		assert.ErrorIs(t, answer.CheckBody([]byte("some "+line+"\r\nId: 6\r\n\r\n"), nil, "Id"), answer.ErrNotOne, line)
+		assert.ErrorIs(t, answer.CheckBody([]byte("some "+line+"\r\nId: 6\r\n\r\n"), answer.Following{}, "Id"), answer.ErrNotOne, line)
 	}
 }
--- a/internal/edge/back/conn.go
+++ b/internal/edge/back/conn.go
@@ -75,13 +75,15 @@
 // interrupt makes the exchange in progress fail by a deadline in the past.
 func (c *conn) interrupt() { _ = c.socket.SetDeadline(time.Unix(1, 0)) }
 
-// awaitMore waits until at least one more byte is buffered, for a limited time.
-func (c *conn) awaitMore(wait time.Duration) {
+// awaitMore waits until at least one more byte is buffered, for a limited time. It reports whether the target has closed the
+// connection instead.
+func (c *conn) awaitMore(wait time.Duration) (closed bool) {
 	if c.socket.SetReadDeadline(time.Now().Add(wait)) != nil {
-		return // The next use of the connection shows the error.
+		return false // The next use of the connection shows the error.
 	}
-	_, _ = c.reader.Peek(1) // The connection is closed, or nothing follows.
+	_, err := c.reader.Peek(1)
 	_ = c.socket.SetReadDeadline(time.Time{})
+	return err != nil && closedByPeer(err)
 }
 
 // healthy reports whether an idle connection is open and has no unread bytes, which would belong to no request.
--- a/internal/edge/back/exchange.go
+++ b/internal/edge/back/exchange.go
@@ -223,7 +223,7 @@
 		if err != nil {
 			return failed(fmt.Errorf("read body of answer: %w", err))
 		}
-		if err := answer.CheckBody(body, x.bytesAfter(body), x.ownHeaders...); err != nil {
+		if err := answer.CheckBody(body, x.awaitFollowing(response, body), x.ownHeaders...); err != nil {
 			return failed(err)
 		}
 		switch id := response.Header.Get(x.names.RequestID); {
@@ -242,14 +242,18 @@
 	}
 }
 
-// bytesAfter returns bytes that follow a body. It waits for them only if the body may be part of several answers.
-func (x *exchange) bytesAfter(body []byte) []byte {
+// awaitFollowing returns what follows a body. It waits only if the body may be part of several answers.
+func (x *exchange) awaitFollowing(response *http.Response, body []byte) answer.Following {
 	c := x.conn
+	closed := false
 	if c.reader.Buffered() == 0 && answer.IsDoubtful(body, x.ownHeaders...) {
-		c.awaitMore(maxFollowWait)
+		closed = c.awaitMore(maxFollowWait)
 	}
 	rest, _ := c.reader.Peek(c.reader.Buffered()) // Never fails for what is buffered.
-	return rest
+	return answer.Following{
+		Bytes:  rest,
+		Closed: closed && !response.Close,
+	}
 }
 
 // readHead reads a head, within the limit for all heads. Bytes of the body that are buffered along with it count too.
--- a/internal/edge/back/splice_test.go
+++ b/internal/edge/back/splice_test.go
@@ -136,6 +136,33 @@
 	}
 }
 
+// Guards against a body that is broken off, filled up by the beginning of another answer and ended by the end of the connection.
+func TestBodyFilledUpByAnotherAnswerIsNotDelivered(t *testing.T) {
+	const body = "a body of some 60 bytes, of which the end is replaced by others"
+	for length := 1; length < len(body); length++ {
+		filled := body[:len(body)-length] + lateCopies[3].text[:length]
+		for _, c := range []struct {
+			name, header, end string
+			delivered         bool
+		}{
+			{name: "closed", end: "|CLOSE"},
+			// The end that an answer announces is no sign of a failure, and neither is a connection that stays open.
+			{name: "closed as announced", header: "Connection: close\r\n", end: "|CLOSE", delivered: true},
+			{name: "open", delivered: true},
+		} {
+			s := newScriptedTarget(t, func(int, int) string {
+				return strings.Replace(ok(filled), "Id: ID\r\n", "Id: ID\r\n"+c.header, 1) + c.end
+			})
+			r := newPool(t).Do(context.Background(), newCall(s, "7"))
+			if c.delivered && !strings.Contains(filled, "Id:") {
+				assert.Check(t, r.Err == nil && string(r.Body) == filled, "%s, %q: %+v", c.name, filled, r)
+				continue
+			}
+			assert.Check(t, r.Err != nil && r.Verdict == steer.MayHaveRun && r.Status == 0, "%s, %q: %+v", c.name, filled, r)
+		}
+	}
+}
+
 // Guards against bodies that speak of HTTP, which are no sign of a broken answer.
 func TestBodyWithTextOfHTTPIsDelivered(t *testing.T) {
 	for _, body := range []string{
--- a/internal/serve/relay/send.go
+++ b/internal/serve/relay/send.go
@@ -220,7 +220,7 @@
 	})
 	err := rp.readPrefix(x.r.Method)
 	if err == nil {
-		err = answer.CheckBody(rp.prefix, nil, headerRequestID, headerVerdict)
+		err = answer.CheckBody(rp.prefix, answer.Following{}, headerRequestID, headerVerdict)
 	}
 	if err == nil {
 		return rp, nil
