Count the time of a silent host in a test from its heartbeat

Cause: a host is suspect 2 s after its last heartbeat. The test counted from the moment at which it had seen the effect of that heartbeat, which can be late.

Change: the test counts from just before the heartbeat. The bounds are the same; the upper ones now include the time until its effect was seen.

--- a/internal/peer/links/fault_test.go
+++ b/internal/peer/links/fault_test.go
@@ -273,9 +273,9 @@
 	c := hostConfig("b")
 	c.PeerAddress = addressOf(l)
 	conn := dialRaw(ctx, t, c, a)
+	begin := time.Now()
 	assert.NilError(t, conn.Write(ctx, websocket.MessageBinary, links.EncodeHeartbeat(1)))
 	eventually(t, time.Second, "one member", converged([]*host{a}, 1))
-	begin := time.Now()
 	assert.NilError(t, conn.CloseNow())
 	var dialled atomic.Int64
 	go func() {
