Drain connections that close while an interim response waits

What callers saw: a host stops while a response is being written, and the caller has sent a further request with "Expect: 100-continue" and its body behind it. The end of the response could be discarded by a reset.

Cause: the reader that waits for the earlier response took the closing connection for a failed one and closed it at once, with unread bytes.

Change: the connection is drained, as for requests that wait for room in the queue.

--- a/internal/edge/front/conn.go
+++ b/internal/edge/front/conn.go
@@ -238,7 +238,10 @@
 	return len(c.queue) > 0
 }
 
-// awaitResponses waits until the responses to all earlier requests are written, and returns an error if the connection closes.
+// errClosing means that a request is not read to its end because the connection closes after an earlier response.
+var errClosing = errors.New("connection closes")
+
+// awaitResponses waits until the responses to all earlier requests are written. It returns errClosing if the connection closes.
 func (c *conn) awaitResponses() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,7 +250,7 @@
 		c.notFull.Wait()
 	}
 	if c.closing {
-		return net.ErrClosed
+		return errClosing
 	}
 	return nil
 }
@@ -288,6 +291,10 @@
 // handleReadError handles the error that ended the reading of requests. A request that cannot be read is answered after the
 // earlier ones. Any other error means that the caller has disconnected or was idle for too long.
 func (c *conn) handleReadError(err error) {
+	if errors.Is(err, errClosing) {
+		c.drain()
+		return
+	}
 	var status *statusError
 	if !errors.As(err, &status) {
 		c.abort()
--- a/internal/edge/front/continue_test.go
+++ b/internal/edge/front/continue_test.go
@@ -71,29 +71,69 @@
 // Guards against a connection that is closed instead of an interim response, because the time for writing the earlier one is over.
 func TestInterimResponseHasItsOwnTimeForWriting(t *testing.T) {
 	t.Parallel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	s := front.New(front.Config{
-		Listener: listener,
-		Handler:  echo,
-		Limits:   func() steer.RequestLimits { return steer.RequestLimits{} },
-	})
+	s, address := startServerWithDefaultLimits(t, echo)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		assert.Check(t, s.Close(ctx))
 	})
-	socket, r := dial(t, listener.Addr().String())
+	socket, r := dial(t, address)
 	send(t, socket, quickRequest)
 	readResponse(t, r)
 	time.Sleep(10*time.Second + 100*time.Millisecond) // Longer than the server may take to write a response.
 	assert.NilError(t, socket.SetDeadline(time.Now().Add(5*time.Second)))
 	send(t, socket, expectHead)
 	line := make([]byte, len(interim))
-	_, err = io.ReadFull(r, line)
+	_, err := io.ReadFull(r, line)
 	assert.NilError(t, err)
 	assert.Equal(t, string(line), interim)
 	send(t, socket, "hello")
 	_, got, _ := readResponse(t, r)
 	assert.Assert(t, strings.Contains(got, "hello"), got)
 }
+
+// startServerWithDefaultLimits starts a server that the test must close.
+func startServerWithDefaultLimits(t *testing.T, handler front.Handler) (*front.Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return front.New(front.Config{
+		Listener: listener,
+		Handler:  handler,
+		Limits:   func() steer.RequestLimits { return steer.RequestLimits{} },
+	}), listener.Addr().String()
+}
+
+// Guards against a reset that discards the last response of a stopping server, because the caller has sent the body of a further
+// request without waiting for the interim response.
+func TestStoppingServerDeliversResponseBeforeInterimResponse(t *testing.T) {
+	t.Parallel()
+	const size = 4 << 20 // More than the kernel takes from the server at once.
+	started := make(chan struct{})
+	s, address := startServerWithDefaultLimits(t, func(context.Context, *front.Request) front.Response {
+		close(started)
+		time.Sleep(300 * time.Millisecond)
+		return front.Response{
+			Status: http.StatusOK,
+			Body:   bytes.Repeat([]byte("x"), size),
+		}
+	})
+	socket, r := dial(t, address)
+	send(t, socket, quickRequest)
+	<-started
+	send(t, socket, strings.Replace(expectHead, "Content-Length: 5", "Content-Length: 100000", 1)+strings.Repeat("y", 100_000))
+	time.Sleep(50 * time.Millisecond) // Until the head is read.
+	closed := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		closed <- s.Close(ctx)
+	}()
+	_, got, response := readResponse(t, r)
+	assert.Assert(t, response.Close)
+	assert.Equal(t, len(got), size)
+	_, err := r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.NilError(t, socket.Close())
+	assert.NilError(t, <-closed)
+}
